--- /dev/null
+++ b/choice/choice_test.go
@@ -0,0 +1,113 @@
+package choice
+
+import (
+	"fmt"
+	"reflect"
+	"testing"
+)
+
+const sec = Micros(1e6)
+
+// testSettings is a plain site of two classes, all capabilities allowed.
+func testSettings() Settings {
+	return Settings{Peers: 2, OverShareWorth: 0.1, MaxAttempts: 3, MaxComeBack: 2 * sec, CanCancel: true,
+		SecondCopies: true, ReportsByAnswer: true, GrantsCount: true, PriorityCount: true, MaxGrantShare: 0.5,
+		ColdFrom: 0.3, ColdFor: 10 * sec, FallMultiple: 2, FallFor: 2 * sec, DrainGrace: sec, AnswerSlack: 20000,
+		Kinds: []Kind{{Cores: 8, MemoryMB: 16000}},
+		Classes: []Class{
+			{Name: "light", Worth: 1, Aim: sec, AimStretch: 2, Deadline: 4 * sec, Threads: 1},
+			{Name: "heavy", Worth: 10, LateWorth: 0.4, Aim: 3 * sec, AimStretch: 2, Deadline: 15 * sec, Threads: 4},
+		}}
+}
+
+// bench drives a gateway through its public interface.
+type bench struct {
+	t   *testing.T
+	g   *Gateway
+	now Micros
+	ids int
+}
+
+func newBench(t *testing.T, s Settings, engines int) *bench {
+	t.Helper()
+	g, err := New(7, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, g: g, now: 100 * sec}
+	var rows []Engine
+	for i := range engines {
+		rows = append(rows, Engine{ID: fmt.Sprintf("e%d", i), Cell: i / 2})
+	}
+	b.step(Engines{Whole: true, Rows: rows})
+	return b
+}
+
+func (b *bench) step(events ...Event) []Action { return b.g.Step(b.now, events) }
+
+func (b *bench) request(class int) Request {
+	b.ids++
+	c := b.g.set.Classes[class]
+	return Request{ID: fmt.Sprintf("q%d", b.ids), Class: class, Cost: 100000 * Micros(1+class*29), MemoryMB: 100,
+		Due: b.now + c.Deadline}
+}
+
+// until steps on, a tick at a time, and returns every action on the way.
+func (b *bench) until(end Micros) (all []Action) {
+	for b.now < end {
+		b.now += 10000
+		all = append(all, b.step()...)
+	}
+	return all
+}
+
+func only[T Action](acts []Action) (out []T) {
+	for _, a := range acts {
+		if t, ok := a.(T); ok {
+			out = append(out, t)
+		}
+	}
+	return out
+}
+
+func TestServesAndAnswersOnce(t *testing.T) {
+	b := newBench(t, testSettings(), 4)
+	q := b.request(0)
+	acts := b.step(q)
+	sends := only[Send](acts)
+	if len(sends) != 1 || sends[0].ID != q.ID {
+		t.Fatalf("want one send of %s, got %v", q.ID, acts)
+	}
+	b.now += 100000
+	b.step(Outcome{ID: q.ID, Engine: sends[0].Engine, Code: OK, Over: true, Took: 100000})
+	rest := b.until(b.now + 5*sec)
+	if n := len(only[Send](rest)) + len(only[Fail](rest)) + len(only[Refuse](rest)); n != 0 {
+		t.Fatalf("%d actions after the final answer", n)
+	}
+}
+
+func TestSameEventsSameActions(t *testing.T) {
+	run := func(between func(*bench)) (all []Action) {
+		b := newBench(t, testSettings(), 5)
+		for i := range 200 {
+			b.now += 7000
+			acts := b.step(b.request(i % 2))
+			all = append(all, acts...)
+			for _, s := range only[Send](acts) {
+				if i%3 > 0 {
+					all = append(all, b.step(Outcome{ID: s.ID, Engine: s.Engine, Over: i%3 == 1,
+						Code: Code(i % 3 * 2 % 3), Took: 5000})...)
+				}
+			}
+			if between != nil {
+				between(newBench(t, testSettings(), 3))
+			}
+		}
+		return all
+	}
+	alone := run(nil)
+	mixed := run(func(o *bench) { o.step(o.request(1)) })
+	if !reflect.DeepEqual(alone, mixed) {
+		t.Fatal("a gateway acts otherwise beside others")
+	}
+}
--- /dev/null
+++ b/choice/state.go
@@ -0,0 +1,225 @@
+package choice
+
+import (
+	"math/rand/v2"
+	"slices"
+)
+
+// This file holds the module's state and its plain bookkeeping; what to do is
+// decided in choice.go.
+
+// Gateway decides for one dispatcher. It is not safe for concurrent use.
+type Gateway struct {
+	set      Settings
+	rng      *rand.Rand
+	now      Micros
+	begun    bool
+	out      []Action
+	classes  []class
+	tenants  []tenant
+	engines  []*engine
+	byID     map[string]*engine
+	open     map[string]*request // looked up only, never ranged over
+	live     []*request          // in the order taken
+	held     []*request          // at the gate, waiting for room
+	turns    map[int64]*turn     // looked up only
+	taken    []Micros            // requests taken within the budget's span
+	further  []Micros            // further attempts within it
+	threads  [levels]float64     // own threads in flight at each level
+	priced   Micros
+	wakeAt   Micros
+	asked    Micros
+	noted    Micros
+	meanCost float64 // mean cost of all queries, seconds of work
+}
+
+// class is what was learned of one class.
+type class struct {
+	Class
+	threads   float64
+	mean      float64  // mean estimate, seconds
+	ratio     quantile // median of log(latency × threads ÷ estimate)
+	base      quantile // the same, of answers taken to be uncrowded
+	memory    quantile // log(memory needed ÷ estimate)
+	price     [levels]float64
+	rate      [levels]float64 // admitted a second
+	wait      [levels]float64 // seconds
+	admitted  [levels]float64 // since the last interval
+	refreshed [levels]bool    // an outcome came since the last interval
+}
+
+// tenant is one tenant's traffic here.
+type tenant struct {
+	allowance, rate, count float64
+}
+
+// engine is what is known of one engine.
+type engine struct {
+	Engine
+	cores, memory float64
+	open          []*attempt
+	threads       float64 // own, in flight
+	granted       float64 // own grants, in MB
+	load          Load
+	loadAt        Micros  // when the report last changed; 0: never heard
+	newThreads    float64 // own threads sent since then
+	newGrants     float64 // own grants sent since then, in MB
+	room          float64 // own threads that it may hold
+	roomAt        Micros
+	slow          float64 // mean log stretch
+	slowN         float64
+	faults        float64 // recent share of faults
+	heard         Micros  // last answer
+	suspect       bool
+	trickleAt     Micros
+	coldSince     Micros
+	coldSends     []coldSend
+	warm          []int64 // groups read last, newest first
+	probeAt       Micros
+}
+
+type coldSend struct {
+	at   Micros
+	work float64
+}
+
+// request is one request that is open here, or has attempts that are.
+type request struct {
+	Request
+	class    *class
+	taken    Micros
+	aim      Micros
+	est      float64 // estimated work, seconds
+	worth    float64
+	level    int
+	attempts []*attempt
+	open     int
+	ran      *attempt // first attempt that may have run
+	done     bool
+	held     bool
+	streamed bool
+	redo     bool // an attempt was called off to be made again
+	restarts float64
+}
+
+// attempt is one send.
+type attempt struct {
+	q        *request
+	n        int
+	e        *engine
+	sent     Micros
+	expect   float64 // seconds
+	level    int
+	grant    float64
+	fresh    bool // sent since the engine's last report
+	quiet    bool // sent to an engine with free cores
+	closed   bool
+	called   bool    // cancelled
+	total    float64 // projected seconds from progress notes; 0: none
+	late     bool    // found far past expectation
+	standing bool    // waits for memory or a load
+}
+
+// turn keeps the order of one key.
+type turn struct {
+	queue []*request
+	open  int
+	rest  Micros
+}
+
+// quantile follows one rank of a stream, moved by ranks alone: outliers weigh
+// no more than their count.
+type quantile struct{ v, n float64 }
+
+func (q *quantile) add(x, rank, least float64) {
+	if q.n++; q.n == 1 {
+		q.v = x
+		return
+	}
+	step := max(least, 1/q.n)
+	if x > q.v {
+		q.v += step * rank
+	} else {
+		q.v -= step * (1 - rank)
+	}
+}
+
+func (g *Gateway) do(a Action) { g.out = append(g.out, a) }
+
+func (g *Gateway) since(t Micros) float64 { return float64(g.now-t) / 1e6 }
+
+// join puts a request that goes in turn into its key's line; leave takes it out.
+func (g *Gateway) join(q *request) {
+	if q.class.InTurn && q.HasKey {
+		if g.turns[q.Key] == nil {
+			g.turns[q.Key] = &turn{}
+		}
+		t := g.turns[q.Key]
+		t.queue = append(t.queue, q)
+	}
+}
+
+func (g *Gateway) leave(q *request) {
+	if q.class.InTurn && q.HasKey {
+		t := g.turns[q.Key]
+		t.queue = slices.DeleteFunc(t.queue, func(o *request) bool { return o == q })
+	}
+}
+
+func (g *Gateway) hold(q *request) {
+	if !q.held {
+		q.held = true
+		g.held = append(g.held, q)
+	}
+}
+
+func (g *Gateway) unhold(q *request) {
+	if q.held {
+		q.held = false
+		g.held = slices.DeleteFunc(g.held, func(o *request) bool { return o == q })
+	}
+}
+
+// enter puts a new attempt on the books.
+func (g *Gateway) enter(a *attempt) {
+	q, e := a.q, a.e
+	if len(q.attempts) > 0 {
+		g.further = append(g.further, g.now)
+	}
+	q.attempts = append(q.attempts, a)
+	q.open++
+	if q.class.InTurn && q.HasKey {
+		g.turns[q.Key].open++
+	}
+	e.open = append(e.open, a)
+	e.threads += q.class.threads
+	e.newThreads += q.class.threads
+	e.newGrants += a.grant
+	e.granted += a.grant
+	g.threads[a.level] += q.class.threads
+}
+
+// close takes an attempt off the books.
+func (g *Gateway) close(a *attempt, code Code) {
+	q, e := a.q, a.e
+	a.closed = true
+	q.open--
+	e.open = slices.DeleteFunc(e.open, func(o *attempt) bool { return o == a })
+	e.threads -= q.class.threads
+	if a.fresh {
+		e.newThreads -= q.class.threads
+		e.newGrants -= a.grant
+	}
+	e.granted -= a.grant
+	g.threads[a.level] -= q.class.threads
+	if code != Full && code != Refused && code != Moot && q.ran == nil {
+		q.ran = a
+	}
+	if q.class.InTurn && q.HasKey {
+		t := g.turns[q.Key]
+		t.open--
+		if code == TimedOut || code == Reset || code == Cancelled {
+			t.rest = max(t.rest, g.now+g.set.TurnGap)
+		}
+	}
+}
--- /dev/null
+++ b/internal/wire/settings.go
@@ -0,0 +1,148 @@
+package wire
+
+import (
+	"encoding/json"
+	"fmt"
+
+	"embershunt/choice"
+)
+
+// env is the settings object; keys that it lacks here are skipped.
+type env struct {
+	AZ         int `json:"az"`
+	Me         int `json:"me"`
+	PeersTotal int `json:"peersTotal"`
+	Classes    []struct {
+		Name       string        `json:"name"`
+		Credit     float64       `json:"credit"`
+		LateWorth  float64       `json:"lateWorth"`
+		AimStretch float64       `json:"aimStretch"`
+		PromiseUs  choice.Micros `json:"promiseUs"`
+		DeadlineUs choice.Micros `json:"deadlineUs"`
+		Effect     string        `json:"effect"`
+		Group      string        `json:"group"`
+		WindowUs   choice.Micros `json:"windowUs"`
+		InTurn     bool          `json:"inTurn"`
+		AllowedIn  []int         `json:"allowedIn"`
+		ServedOn   []int         `json:"servedOn"`
+	} `json:"classes"`
+	CountedBy string `json:"countedBy"`
+	Customers []struct {
+		Name          string  `json:"name"`
+		AllowancePerS float64 `json:"allowancePerS"`
+	} `json:"customers"`
+	FamilyInfo struct {
+		Dop           []int         `json:"dop"`
+		GrantsCount   bool          `json:"grantsCount"`
+		KindCores     []int         `json:"kindCores"`
+		MaxGrantShare float64       `json:"maxGrantShare"`
+		OnShortage    string        `json:"onShortage"`
+		ProgressUs    choice.Micros `json:"progressUs"`
+		RAMOfKindMb   []float64     `json:"ramOfKindMb"`
+		TakesPriority bool          `json:"takesPriority"`
+		WaitsForLoads []bool        `json:"waitsForLoads"`
+		WritesTables  []bool        `json:"writesTables"`
+	} `json:"familyInfo"`
+	Feedback struct {
+		How string `json:"how"`
+	} `json:"feedback"`
+	Limits struct {
+		Cancelling      bool          `json:"cancelling"`
+		MaxRetryAfterUs choice.Micros `json:"maxRetryAfterUs"`
+		MostHeld        int           `json:"mostHeld"`
+		Peers           bool          `json:"peers"`
+		Probes          bool          `json:"probes"`
+		RetryAfter      bool          `json:"retryAfter"`
+		SecondCopies    bool          `json:"secondCopies"`
+		SendCap         int           `json:"sendCap"`
+	} `json:"limits"`
+	OverShareWorth float64 `json:"overShareWorth"`
+	RegistryMode   string  `json:"registryMode"`
+	Rules          struct {
+		ColdFrom            float64       `json:"coldFrom"`
+		ColdUs              choice.Micros `json:"coldUs"`
+		FallMultiple        float64       `json:"fallMultiple"`
+		GraceToAnswerUs     choice.Micros `json:"graceToAnswerUs"`
+		MustAskInUs         choice.Micros `json:"mustAskInUs"`
+		OverloadForUs       choice.Micros `json:"overloadForUs"`
+		StopSendingWithinUs choice.Micros `json:"stopSendingWithinUs"`
+		TurnGapUs           choice.Micros `json:"turnGapUs"`
+		BudgetFree          float64       `json:"budgetFree"`
+		BudgetShare         float64       `json:"budgetShare"`
+		BudgetSpanUs        choice.Micros `json:"budgetSpanUs"`
+	} `json:"rules"`
+}
+
+var (
+	effects = map[string]choice.Effect{"": choice.Safe, "retryable": choice.Safe, "dedup": choice.Keyed,
+		"fragile": choice.Unsafe}
+	groups = map[string]choice.Group{"": choice.GroupAll, "all": choice.GroupAll, "zone": choice.GroupZone,
+		"cell": choice.GroupCell}
+	shortages = map[string]choice.Shortage{"": choice.ShortQueue, "queue": choice.ShortQueue,
+		"trim": choice.ShortTrim, "swap": choice.ShortSwap}
+)
+
+func decodeSettings(raw json.RawMessage) (*choice.Settings, error) {
+	var e env
+	if err := json.Unmarshal(raw, &e); err != nil {
+		return nil, err
+	}
+	f, l, r := &e.FamilyInfo, &e.Limits, &e.Rules
+	s := &choice.Settings{Zone: e.AZ, Me: e.Me, Peers: e.PeersTotal, OverShareWorth: e.OverShareWorth,
+		CountByWork: e.CountedBy == "work", MaxAttempts: l.SendCap, MaxHeld: l.MostHeld,
+		CanCancel: l.Cancelling, CanProbe: l.Probes, CanTell: l.Peers, SecondCopies: l.SecondCopies,
+		ReportsByAnswer: e.Feedback.How == "piggyback", ReportsByProbe: e.Feedback.How == "pull",
+		AskForList: e.RegistryMode == "subscribe", GrantsCount: f.GrantsCount, PriorityCount: f.TakesPriority,
+		MaxGrantShare: f.MaxGrantShare, ProgressEvery: f.ProgressUs, ColdFrom: r.ColdFrom, ColdFor: r.ColdUs,
+		FallMultiple: r.FallMultiple, FallFor: r.OverloadForUs, DrainGrace: r.StopSendingWithinUs,
+		AnswerSlack: r.GraceToAnswerUs, AskWithin: r.MustAskInUs, TurnGap: r.TurnGapUs,
+		BudgetFree: r.BudgetFree, BudgetShare: r.BudgetShare, BudgetSpan: r.BudgetSpanUs}
+	if l.RetryAfter {
+		s.MaxComeBack = l.MaxRetryAfterUs
+	}
+	var ok bool
+	if s.Shortage, ok = shortages[f.OnShortage]; !ok {
+		return nil, fmt.Errorf("familyInfo.onShortage: unknown value %q", f.OnShortage)
+	}
+	for name, n := range map[string]int{"dop": len(f.Dop), "waitsForLoads": len(f.WaitsForLoads),
+		"writesTables": len(f.WritesTables)} {
+		if n != 0 && n != len(e.Classes) {
+			return nil, fmt.Errorf("familyInfo.%s: %d entries for %d classes", name, n, len(e.Classes))
+		}
+	}
+	if len(f.RAMOfKindMb) != 0 && len(f.RAMOfKindMb) != len(f.KindCores) {
+		return nil, fmt.Errorf("familyInfo.ramOfKindMb: %d entries for %d kinds", len(f.RAMOfKindMb), len(f.KindCores))
+	}
+	for i, c := range e.Classes {
+		d := choice.Class{Name: c.Name, Worth: c.Credit, LateWorth: c.LateWorth, Aim: c.PromiseUs,
+			AimStretch: c.AimStretch, Deadline: c.DeadlineUs, Window: c.WindowUs, InTurn: c.InTurn,
+			Zones: c.AllowedIn, Kinds: c.ServedOn}
+		if d.Effect, ok = effects[c.Effect]; !ok {
+			return nil, fmt.Errorf("classes[%d].effect: unknown value %q", i, c.Effect)
+		}
+		if d.Group, ok = groups[c.Group]; !ok {
+			return nil, fmt.Errorf("classes[%d].group: unknown value %q", i, c.Group)
+		}
+		if len(f.Dop) > 0 {
+			d.Threads = f.Dop[i]
+		}
+		if len(f.WritesTables) > 0 {
+			d.Loads = f.WritesTables[i]
+		}
+		if len(f.WaitsForLoads) > 0 {
+			d.Waits = f.WaitsForLoads[i]
+		}
+		s.Classes = append(s.Classes, d)
+	}
+	for i, cores := range f.KindCores {
+		k := choice.Kind{Cores: cores}
+		if len(f.RAMOfKindMb) > 0 {
+			k.MemoryMB = f.RAMOfKindMb[i]
+		}
+		s.Kinds = append(s.Kinds, k)
+	}
+	for _, t := range e.Customers {
+		s.Tenants = append(s.Tenants, choice.Tenant{Name: t.Name, Allowance: t.AllowancePerS})
+	}
+	return s, nil
+}
