--- a/choice/choice.go
+++ b/choice/choice.go
@@ -63,8 +63,11 @@
 	grantRank    = 0.85 // rank of learned memory need that a grant covers
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
 	warmWeight   = 1.5  // weight of an engine where the group is warm
-	noteEvery    = 1.0  // seconds between two log lines
-	micros       = 1e6  // microseconds in a second
+	tellEvery    = 0.25 // seconds between messages to peers, for up to tellPeers of them; more peers, more rarely
+	tellPeers    = 4
+	tellFresh    = 4   // messages that may be lost before a peer's word is forgotten
+	noteEvery    = 1.0 // seconds between two log lines
+	micros       = 1e6 // microseconds in a second
 )
 
 // New returns a gateway, or an error that names the unusable setting.
@@ -101,6 +104,8 @@
 			g.progress(ev)
 		case Probed:
 			g.probed(ev)
+		case Heard:
+			g.heard(ev)
 		case First:
 			if q := g.open[ev.ID]; q != nil {
 				q.streamed = true
@@ -212,11 +217,20 @@
 		allowed += t.allowance
 	}
 	t := &g.tenants[q.Tenant]
-	mine := t.allowance * max(1/float64(g.set.Peers), total/max(allowed, 1e-9))
-	if t.allowance <= 0 || t.rate <= mine {
+	mine, rate, heard := t.allowance, t.rate, 1
+	for _, p := range g.peers {
+		if q.Tenant < len(p.rates) && g.since(p.at) < tellFresh*g.tellSpan() {
+			rate += p.rates[q.Tenant]
+			heard++
+		}
+	}
+	if heard < g.set.Peers { // unheard peers: our part is at least an equal one
+		mine *= max(float64(heard)/float64(g.set.Peers), min(1, total/max(allowed, 1e-9)))
+	}
+	if t.allowance <= 0 || rate <= mine {
 		return w
 	}
-	inside := mine / t.rate
+	inside := mine / rate
 	return w * (inside + (1-inside)*g.set.OverShareWorth)
 }
 
@@ -380,7 +394,14 @@
 	if e.load.Memory > 0 && e.memory > 0 && e.load.Memory+(e.newGrants+g.grant(q, e))/e.memory > memoryHigh {
 		return false
 	}
-	return e.threads == 0 || e.threads+q.class.threads <= room
+	threads, granted := g.others(e)
+	if e.threads == 0 && threads < room {
+		return true
+	}
+	if g.set.Shortage != ShortSwap && e.memory > 0 && e.granted+granted+g.grant(q, e) > memoryHigh*e.memory && e.granted > 0 {
+		return false
+	}
+	return e.threads+threads+q.class.threads <= room
 }
 
 // coldRoom keeps this gateway's part of what a cold engine can bear.
@@ -597,6 +618,7 @@
 	c, e, fault := a.q.class, a.e, 0.0
 	switch o.Code {
 	case OK:
+		e.trickleAt = g.now // the next trial may follow
 		took := max(float64(o.Took)/micros, 1e-4)
 		x := math.Log(took * c.threads / max(a.q.est, 1e-4))
 		e.slow += (max(-slowClip, min(slowClip, x-c.base.v)) - e.slow) * slowStep
@@ -658,9 +680,10 @@
 	if g.since(e.roomAt) < roomEvery {
 		return
 	}
+	others, _ := g.others(e)
 	if e.slow > crowded {
 		e.room, e.roomAt = max(e.room*roomDown, g.leastRoom()), g.now
-	} else if e.slow < uncrowded && e.load.Util < utilHigh && e.threads > e.room/2 {
+	} else if e.slow < uncrowded && e.load.Util < utilHigh && e.threads+others > e.room/2 {
 		e.room, e.roomAt = min(e.room+roomUp, threadsMost*e.cores), g.now
 	}
 }
@@ -702,6 +725,9 @@
 	}
 }
 
+// tellSpan is the time between messages to peers, in seconds.
+func (g *Gateway) tellSpan() float64 { return tellEvery * max(1, float64(g.set.Peers)/tellPeers) }
+
 // list keeps up with the engine list.
 func (g *Gateway) list(l Engines) {
 	if l.Failed {
@@ -722,8 +748,12 @@
 				e.cores = float64(max(g.set.Kinds[r.Kind].Cores, 1))
 				e.memory = g.set.Kinds[r.Kind].MemoryMB
 			}
-			e.room = max(threadsACore*e.cores/float64(g.set.Peers), g.leastRoom())
+			e.room = threadsACore * e.cores
+			if !g.set.CanTell { // others' threads stay unseen
+				e.room = max(e.room/float64(g.set.Peers), g.leastRoom())
+			}
 			e.coldSince = r.Started
+			e.key = hash(r.ID)
 			g.byID[r.ID] = e
 		} else if r.Started != e.Started { // restarted: nothing learned holds any more
 			e.coldSince, e.suspect, e.faults, e.slow, e.warm = max(r.Started, e.coldSince), false, 0, 0, nil
@@ -748,6 +778,10 @@
 		g.asked = g.now
 		g.do(Fetch{})
 	}
+	if g.set.CanTell && g.set.Peers > 1 && g.since(g.told) >= g.tellSpan() {
+		g.told = g.now
+		g.tell()
+	}
 	for i, e := range g.engines {
 		if g.set.ReportsByProbe && g.set.CanProbe && g.now >= e.probeAt {
 			e.probeAt = g.now + Micros(micros) + Micros(i)*1000
@@ -784,7 +818,7 @@
 		}
 	}
 	if overdue >= 2 { // two attempts, or one very old: one alone may be a bad plan
-		e.faults = 1
+		e.faults = faultHigh
 		g.distrust(e, "silent")
 	}
 }
--- a/choice/state.go
+++ b/choice/state.go
@@ -1,6 +1,9 @@
 package choice
 
 import (
+	"encoding/binary"
+	"hash/fnv"
+	"math"
 	"math/rand/v2"
 	"slices"
 )
@@ -30,6 +33,8 @@
 	wakeAt   Micros
 	asked    Micros
 	noted    Micros
+	told     Micros
+	peers    []peer  // by number; nil until one was heard
 	meanCost float64 // mean cost of all queries, seconds of work
 }
 
@@ -53,9 +58,31 @@
 	allowance, rate, count float64
 }
 
+// peer is what another gateway said last.
+type peer struct {
+	at    Micros
+	rates []float64             // by tenant, a second
+	load  map[uint32][2]float64 // by engine: threads, share of memory; looked up only
+}
+
+// The frame of messages to peers.
+const (
+	tellMost  = 256 // bytes
+	tellRow   = 6   // bytes for an engine
+	tellScale = 10  // steps of a rate of one a second
+)
+
+// hash is a short name for an engine.
+func hash(id string) uint32 {
+	h := fnv.New32a()
+	h.Write([]byte(id))
+	return h.Sum32()
+}
+
 // engine is what is known of one engine.
 type engine struct {
 	Engine
+	key           uint32 // short name in messages to peers
 	cores, memory float64
 	open          []*attempt
 	threads       float64 // own, in flight
@@ -223,3 +250,52 @@
 		}
 	}
 }
+
+// tell sends peers what this gateway has out on each engine and what its tenants
+// ask: with it each knows the whole load, and nobody depends on it.
+func (g *Gateway) tell() {
+	data := []byte{byte(len(g.tenants))}
+	for _, t := range g.tenants {
+		data = binary.BigEndian.AppendUint16(data, uint16(min(t.rate*tellScale, math.MaxUint16)))
+	}
+	for _, e := range g.engines {
+		if len(data)+tellRow <= tellMost && e.threads > 0 {
+			data = binary.BigEndian.AppendUint32(data, hash(e.ID))
+			data = append(data, byte(min(e.threads, math.MaxUint8)), byte(min(e.granted/max(e.memory, 1), 1)*math.MaxUint8))
+		}
+	}
+	g.do(Tell{Data: data})
+}
+
+// heard takes a peer's word. What does not parse is skipped.
+func (g *Gateway) heard(h Heard) {
+	if h.From < 0 || h.From >= g.set.Peers || h.From == g.set.Me || len(h.Data) == 0 || int(h.Data[0]) != len(g.tenants) {
+		return
+	}
+	p := peer{at: g.now, load: map[uint32][2]float64{}}
+	data := h.Data[1:]
+	for range g.tenants {
+		if len(data) < 2 {
+			return
+		}
+		p.rates = append(p.rates, float64(binary.BigEndian.Uint16(data))/tellScale)
+		data = data[2:]
+	}
+	for ; len(data) >= tellRow; data = data[tellRow:] {
+		p.load[binary.BigEndian.Uint32(data)] = [2]float64{float64(data[4]), float64(data[5]) / math.MaxUint8}
+	}
+	if g.peers == nil {
+		g.peers = make([]peer, g.set.Peers)
+	}
+	g.peers[h.From] = p
+}
+
+// others is what peers say that they have on an engine: threads and MB.
+func (g *Gateway) others(e *engine) (threads, granted float64) {
+	for _, p := range g.peers {
+		if l, ok := p.load[e.key]; ok && g.since(p.at) < tellFresh*g.tellSpan() {
+			threads, granted = threads+l[0], granted+l[1]*e.memory
+		}
+	}
+	return threads, granted
+}
