--- a/choice/choice.go
+++ b/choice/choice.go
@@ -30,15 +30,17 @@
 	threadsMost  = 2.0  // most room, threads a core: the upper end of the same
 	utilHigh     = 0.97 // utilisation above which no room is widened: cores are all taken
 	memoryHigh   = 0.95 // share of memory granted above which nothing more is sent
-	crowded      = 0.8  // log stretch over uncrowded answers above which a room narrows: work is lost
-	uncrowded    = 0.5  // log stretch below which a room in full use widens
+	crowded      = 1.1  // log stretch over uncrowded answers above which a room narrows: work is lost
+	uncrowded    = 0.8  // log stretch below which a room in full use widens
 	roomDown     = 0.9  // factor of narrowing, gentle since reports are late
 	roomUp       = 1.0  // threads of widening
 	roomEvery    = 0.2  // seconds between two changes of one room: a report must have come
 	lightRoom    = 1.3  // light queries may fill the room this much further: they leave soon
 	reportFresh  = 2.0  // seconds for which a load report is believed
 	quantStep    = 0.03 // least step of a learned quantile, in log units
-	baseFirst    = 20   // answers of a class from which its base is learned whatever the crowd
+	meanStep     = 0.02 // weight of one query in a mean cost
+	fitStep      = 0.01 // least weight of one answer in the fit of work to estimate: the last hundred or so
+	baseFirst    = 20   // answers of a class from which its fit is learned whatever the crowd
 	coldStretch  = 0.5  // part of the ramp credited to a cold engine: its shape is not told
 	coldSafety   = 0.6  // part of the cold budget used: chance, and peers with more traffic
 	fullUtil     = 0.85 // utilisation at which an engine counts as at capacity
@@ -60,7 +62,8 @@
 	homeZone     = 1.5  // weight of engines in the gateway's own zone
 	heldTables   = 0.1  // weight of an engine where a load holds the group, for classes that wait
 	grantMargin  = 1.25 // memory grant over the estimate where nothing was learned: an engine's own
-	grantRank    = 0.85 // rank of learned memory need that a grant covers
+	swapMargin   = 4.0  // further margin where engines swap: only the lesser of grant and need counts
+	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
 	warmWeight   = 1.5  // weight of an engine where the group is warm
 	tellEvery    = 0.25 // seconds between messages to peers, for up to tellPeers of them; more peers, more rarely
@@ -80,7 +83,7 @@
 		byID: map[string]*engine{}, open: map[string]*request{}, turns: map[int64]*turn{}}
 	for _, c := range s.Classes {
 		threads := float64(max(c.Threads, 1))
-		g.classes = append(g.classes, class{Class: c, threads: threads})
+		g.classes = append(g.classes, class{Class: c, threads: threads, margin: math.Log(grantMargin)})
 	}
 	for _, t := range s.Tenants {
 		g.tenants = append(g.tenants, tenant{allowance: t.Allowance})
@@ -91,7 +94,12 @@
 // Step takes what happened at one moment and returns what to do, in order.
 func (g *Gateway) Step(now Micros, events []Event) []Action {
 	g.now, g.out = now, nil
-	g.begin()
+	if !g.begun {
+		g.begun, g.priced, g.asked = true, now, now
+		if g.set.AskForList {
+			g.do(Watch{})
+		}
+	}
 	for _, ev := range events {
 		switch ev := ev.(type) {
 		case Engines:
@@ -125,17 +133,6 @@
 	return g.out
 }
 
-func (g *Gateway) begin() {
-	if g.begun {
-		return
-	}
-	g.begun, g.priced = true, g.now
-	if g.set.AskForList {
-		g.asked = g.now
-		g.do(Watch{})
-	}
-}
-
 // note writes a log line, rarely.
 func (g *Gateway) note(format string, args ...any) {
 	if g.noted == 0 || g.since(g.noted) >= noteEvery {
@@ -157,20 +154,23 @@
 	if r.Tenant >= 0 && r.Tenant < len(g.tenants) {
 		g.tenants[r.Tenant].count++
 	}
-	q.est = float64(r.Cost) / micros
+	q.est = c.fit.at(float64(r.Cost) / micros)
 	if r.Cost <= 0 { // a missing estimate is never zero work
 		q.est = c.typical()
-	} else if c.mean == 0 {
+	}
+	if r.MemoryMB > 0 {
+		c.memory.add(math.Log(r.MemoryMB), 0.5, quantStep)
+	}
+	if c.mean == 0 {
 		c.mean = q.est
-	} else {
-		c.mean += (q.est - c.mean) * 0.02
 	}
 	if g.meanCost == 0 {
-		g.meanCost = c.cost(q.est)
+		g.meanCost = q.est
 	}
-	g.meanCost += (c.cost(q.est) - g.meanCost) * 0.01
+	c.mean += (q.est - c.mean) * meanStep
+	g.meanCost += (q.est - g.meanCost) * meanStep
 	q.worth = g.worthOf(q)
-	q.aim = g.now + c.Aim + Micros(c.AimStretch*q.est*math.Exp(c.base.v)/c.threads*micros)
+	q.aim = g.now + c.Aim + Micros(c.AimStretch*q.est/c.threads*micros)
 	g.join(q)
 	level, net := g.cheapest(q)
 	q.level = level
@@ -195,8 +195,7 @@
 	return max(float64(c.Aim), 1) / micros / 4 * c.threads
 }
 
-// cost is the learned work of a query, service its learned time alone.
-func (c *class) cost(est float64) float64    { return est * math.Exp(c.base.v) }
+// service is the learned time of a query, alone and at the usual crowd.
 func (c *class) service(est float64) float64 { return est * math.Exp(c.ratio.v) / c.threads }
 
 func (c *class) delayCost() float64 { return c.Worth / (float64(c.Deadline) / micros) }
@@ -249,7 +248,7 @@
 
 // plain is the level taken while prices and waits tell no difference.
 func (g *Gateway) plain(q *request) int {
-	if q.class.cost(q.est) > g.meanCost {
+	if q.est > g.meanCost {
 		return 2
 	}
 	return 1
@@ -388,7 +387,7 @@
 // hasRoom keeps an engine below the crowd at which all work there slows.
 func (g *Gateway) hasRoom(q *request, e *engine) bool {
 	room := e.room * g.speed(e)
-	if q.class.cost(q.est) < g.meanCost {
+	if q.est < g.meanCost {
 		room *= lightRoom
 	}
 	if e.load.Memory > 0 && e.memory > 0 && e.load.Memory+(e.newGrants+g.grant(q, e))/e.memory > memoryHigh {
@@ -417,7 +416,7 @@
 	share := g.set.ColdFrom + (1-g.set.ColdFrom)*max(age, 0)*coldStretch
 	span := float64(g.set.FallFor) / micros
 	budget := coldSafety * g.set.FallMultiple * share * fullUtil * e.cores * span / float64(g.set.Peers)
-	work := q.class.cost(q.class.typical())
+	work := q.class.typical()
 	for _, s := range e.coldSends {
 		if g.since(s.at) <= span {
 			work += s.work
@@ -429,7 +428,7 @@
 // trickle lets a light query that may be repeated try a suspect engine.
 func (g *Gateway) trickle(q *request, e *engine) bool {
 	return g.now >= e.trickleAt && len(q.attempts) == 0 && q.class.Effect != Unsafe &&
-		q.class.cost(q.est) <= g.meanCost
+		q.est <= g.meanCost
 }
 
 // mayStart tells whether another attempt of the request is within the rules now.
@@ -486,7 +485,7 @@
 		e.trickleAt = g.now + Micros(trickleEvery*micros)
 	}
 	if e.coldSince != 0 {
-		e.coldSends = append(e.coldSends, coldSend{g.now, c.cost(c.typical())})
+		e.coldSends = append(e.coldSends, coldSend{g.now, c.typical()})
 	}
 	e.warm = slices.Insert(slices.DeleteFunc(e.warm, func(t int64) bool { return t == q.Tables }), 0, q.Tables)
 	e.warm = e.warm[:min(len(e.warm), warmKeep)]
@@ -504,7 +503,11 @@
 	if !g.set.GrantsCount || q.MemoryMB <= 0 {
 		return 0
 	}
-	need := q.MemoryMB * max(grantMargin, math.Exp(q.class.memory.v))
+	c := q.class
+	need := math.Exp(c.memory.v + c.fit.slope()*(math.Log(q.MemoryMB)-c.memory.v) + c.margin)
+	if g.set.Shortage == ShortSwap { // what passes the need is not lost to others
+		need *= swapMargin
+	}
 	if g.set.MaxGrantShare > 0 && e.memory > 0 {
 		need = min(need, g.set.MaxGrantShare*e.memory)
 	}
@@ -519,7 +522,7 @@
 	}
 	queue := slices.Clone(g.held)
 	slices.SortStableFunc(queue, func(a, b *request) int {
-		x, y := a.worth/a.class.cost(a.est), b.worth/b.class.cost(b.est)
+		x, y := a.worth/a.est, b.worth/b.est
 		switch {
 		case x > y:
 			return -1
@@ -621,14 +624,19 @@
 		e.trickleAt = g.now // the next trial may follow
 		took := max(float64(o.Took)/micros, 1e-4)
 		x := math.Log(took * c.threads / max(a.q.est, 1e-4))
-		e.slow += (max(-slowClip, min(slowClip, x-c.base.v)) - e.slow) * slowStep
+		e.slow += (max(-slowClip, min(slowClip, x)) - e.slow) * slowStep
 		e.slowN++
 		c.ratio.add(x, 0.5, quantStep)
-		if a.quiet || c.base.n < baseFirst {
-			c.base.add(x, 0.5, quantStep)
+		if a.q.Cost > 0 && (a.quiet || c.fit.n < baseFirst) {
+			c.fit.add(float64(a.q.Cost)/micros, a.q.est*math.Exp(max(-slowClip, min(slowClip, x))), fitStep)
 		}
 		g.adjust(e)
 		wait := max(0, float64(g.now-a.q.taken)/micros-c.service(a.q.est))
+		if a.spilt { // the margin settles where the wanted rank of grants suffices
+			c.margin += quantStep * grantRank
+		} else if a.noted {
+			c.margin -= quantStep * (1 - grantRank)
+		}
 		c.wait[a.level] += (wait - c.wait[a.level]) * waitStep
 		c.refreshed[a.level] = true
 	case Full: // turned away: a sign of a crowd, and as quick as a fault
@@ -641,7 +649,7 @@
 	e.heard = g.now
 	e.faults += (fault - e.faults) * faultStep
 	if o.Code == Refused || o.Code == Reset { // it may come back cold, before the list tells
-		g.chill(e)
+		e.coldSince = g.now
 	}
 	if !e.suspect && e.faults > faultHigh {
 		g.distrust(e, "faults")
@@ -651,11 +659,6 @@
 	}
 }
 
-// chill treats an engine as started now.
-func (g *Gateway) chill(e *engine) {
-	e.coldSince = g.now
-}
-
 // distrust keeps all but a trickle from an engine. It guards against engines
 // that fail fast (which look idle), hang, vanish or drop connections.
 func (g *Gateway) distrust(e *engine, why string) {
@@ -712,14 +715,12 @@
 	a := q.attempts[p.Attempt]
 	switch p.Kind {
 	case ShareDone:
-		a.standing = false
+		a.standing, a.noted = false, true
 		if p.Value > 0 {
 			a.total = g.since(a.sent) / min(p.Value, 1)
 		}
 	case Spills:
-		if q.MemoryMB > 0 && p.Value > 0 {
-			q.class.memory.add(math.Log((a.grant+p.Value)/q.MemoryMB), grantRank, quantStep)
-		}
+		a.spilt = true
 	default:
 		a.standing = true
 	}
@@ -828,7 +829,7 @@
 func (g *Gateway) overdue(a *attempt) {
 	age, q := g.since(a.sent), a.q
 	lost := a.e.suspect && age > silentFloor && age > silentTimes*a.expect
-	expect := q.class.cost(q.est) / q.class.threads * math.Exp(max(a.e.slow, 0)) * (1 + q.restarts)
+	expect := q.est / q.class.threads * math.Exp(max(a.e.slow, 0)) * (1 + q.restarts)
 	bad := age > planFloor && age > planTimes*expect
 	if a.total > 0 {
 		bad = age > planFloor && a.total > planTimes*expect && a.total-age > 1.5*expect
@@ -840,10 +841,7 @@
 	if float64(q.Due-g.guard()-g.now)/micros < fresh || len(q.attempts) >= g.set.MaxAttempts || q.redo {
 		return
 	}
-	if q.class.Effect != Safe && g.set.CanCancel == false || !g.inBudget() {
-		return
-	}
-	if q.class.Effect == Unsafe {
+	if q.class.Effect == Unsafe || !g.inBudget() {
 		return
 	}
 	if g.callOff(a) {
@@ -882,7 +880,7 @@
 			for h := range levels {
 				above += g.threads[h]
 				if h >= k {
-					r += c.cost(c.typical()) / share * lost[h] / (1 - min(above/share, crowdCap))
+					r += c.typical() / share * lost[h] / (1 - min(above/share, crowdCap))
 				}
 			}
 			c.price[k] = priceStep*r + (1-priceStep)*c.price[k]
--- a/choice/state.go
+++ b/choice/state.go
@@ -42,10 +42,11 @@
 type class struct {
 	Class
 	threads   float64
-	mean      float64  // mean estimate, seconds
-	ratio     quantile // median of log(latency × threads ÷ estimate)
-	base      quantile // the same, of answers taken to be uncrowded
-	memory    quantile // log(memory needed ÷ estimate)
+	mean      float64  // mean fitted estimate, seconds
+	fit       fit      // uncrowded work as a power of the estimate
+	ratio     quantile // median of log(latency × threads ÷ fitted estimate)
+	memory    quantile // median of log(memory estimate)
+	margin    float64  // log of grant over fitted memory estimate
 	price     [levels]float64
 	rate      [levels]float64 // admitted a second
 	wait      [levels]float64 // seconds
@@ -144,9 +145,39 @@
 	called   bool    // cancelled
 	total    float64 // projected seconds from progress notes; 0: none
 	late     bool    // found far past expectation
+	noted    bool    // progress notes came
+	spilt    bool    // it spilled
 	standing bool    // waits for memory or a load
 }
 
+// fit is a running line through log(work) over log(estimate). Estimates that
+// scatter widely say less than they seem to: the slope shrinks them towards the
+// class's middle. It starts as if five answers had borne the estimates out.
+type fit struct{ n, x, y, xx, xy float64 }
+
+func (f *fit) add(est, work, least float64) {
+	x, y := math.Log(est), math.Log(work)
+	f.n++
+	w := max(least, 1/f.n)
+	dx, dy := x-f.x, y-f.y
+	f.x += w * dx
+	f.y += w * dy
+	f.xx = (1 - w) * (f.xx + w*dx*dx)
+	f.xy = (1 - w) * (f.xy + w*dx*dy)
+}
+
+func (f *fit) slope() float64 {
+	n := min(f.n, 100)
+	return max(0, min(1, (f.xy*n+5)/(f.xx*n+5)))
+}
+
+func (f *fit) at(est float64) float64 {
+	if f.n == 0 || est <= 0 {
+		return est
+	}
+	return math.Exp(f.y + f.slope()*(math.Log(est)-f.x))
+}
+
 // turn keeps the order of one key.
 type turn struct {
 	queue []*request
