Share of cores counts peers that talk; loads are told to peers and noted; a test for each rule

Also covers gateways of very unequal traffic. May hurt when messages are lost for a second: a gateway then takes a larger share.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -51,7 +51,7 @@
 	silentTimes  = 3.0  // an attempt this far past its expectation is overdue
 	silentFloor  = 0.6  // seconds of silence below which overdue attempts prove nothing (pauses)
 	planTimes    = 3.0  // an attempt this far past its expectation is taken for a bad plan
-	passTimes    = 4.0  // a query this far over its class's mean is no use for a free core: it holds it too long
+	passTimes    = 4.0  // a query this far over its class's mean is no use for a free core: it stays
 	planFloor    = 0.3  // seconds below which no attempt is judged
 	slowStep     = 0.15 // weight of one answer in an engine's stretch
 	slowSlack    = 0.4  // log stretch over the fleet's that is scatter
@@ -66,7 +66,7 @@
 	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
 	warmWeight   = 1.5  // weight of an engine where the group is warm
-	tellEvery    = 0.25 // seconds between messages to peers, for up to tellPeers of them; more peers, more rarely
+	tellEvery    = 0.25 // seconds between messages to peers; more than tellPeers of them, more rarely
 	tellPeers    = 4
 	tellFresh    = 4   // messages that may be lost before a peer's word is forgotten
 	noteEvery    = 1.0 // seconds between two log lines
@@ -216,15 +216,14 @@
 		allowed += t.allowance
 	}
 	t := &g.tenants[q.Tenant]
-	mine, rate, heard := t.allowance, t.rate, 1
+	mine, rate := t.allowance, t.rate
 	for _, p := range g.peers {
-		if q.Tenant < len(p.rates) && g.since(p.at) < tellFresh*g.tellSpan() {
+		if g.freshPeer(p) {
 			rate += p.rates[q.Tenant]
-			heard++
 		}
 	}
-	if heard < g.set.Peers { // unheard peers: our part is at least an equal one
-		mine *= max(float64(heard)/float64(g.set.Peers), min(1, total/max(allowed, 1e-9)))
+	if g.peers == nil { // peers' traffic is unseen: our part is at least an equal one
+		mine *= max(1/float64(g.set.Peers), min(1, total/max(allowed, 1e-9)))
 	}
 	if t.allowance <= 0 || rate <= mine {
 		return w
@@ -267,15 +266,22 @@
 	return own+q.class.threads <= g.shareCores() || e != nil && g.util(e) < passUtil
 }
 
-// shareCores is this gateway's share of the told cores.
+// shareCores is this gateway's share of the told cores: our part of all that is
+// out where peers talk, an equal one among those that do, else among all. A peer
+// that falls silent has no share: after a loss of gateways the rest take it over.
 func (g *Gateway) shareCores() float64 {
-	var cores float64
+	var cores, own, all float64
 	for _, e := range g.engines {
 		if e.State == Healthy {
-			cores += e.cores
+			threads, _ := g.others(e)
+			cores, own, all = cores+e.cores, own+e.threads, all+e.threads+threads
 		}
 	}
-	return max(cores/float64(g.set.Peers), 1)
+	part := 1 / float64(g.set.Peers)
+	if g.peers != nil {
+		part = max(1/float64(g.talking()), own/max(all, 1))
+	}
+	return max(cores*part, 1)
 }
 
 // util is an engine's utilisation: reported plus own sends since, else own
@@ -351,11 +357,8 @@
 		w *= warmWeight
 	}
 	if q.class.Waits || q.class.Loads {
-		for _, a := range e.open {
-			if a.q.class.Loads && a.q.Tables == q.Tables {
-				w *= heldTables
-				break
-			}
+		if g.loading(e, q.Tables) {
+			w *= heldTables
 		}
 	}
 	for _, a := range q.attempts { // another try goes elsewhere if it can
@@ -397,7 +400,8 @@
 	if e.threads == 0 && threads < room {
 		return true
 	}
-	if g.set.Shortage != ShortSwap && e.memory > 0 && e.granted+granted+g.grant(q, e) > memoryHigh*e.memory && e.granted > 0 {
+	granted += e.granted + g.grant(q, e)
+	if g.set.Shortage != ShortSwap && e.memory > 0 && e.granted > 0 && granted > memoryHigh*e.memory {
 		return false
 	}
 	return e.threads+threads+q.class.threads <= room
@@ -487,7 +491,8 @@
 	if e.coldSince != 0 {
 		e.coldSends = append(e.coldSends, coldSend{g.now, c.typical()})
 	}
-	e.warm = slices.Insert(slices.DeleteFunc(e.warm, func(t int64) bool { return t == q.Tables }), 0, q.Tables)
+	e.warm = slices.DeleteFunc(e.warm, func(t int64) bool { return t == q.Tables })
+	e.warm = slices.Insert(e.warm, 0, q.Tables)
 	e.warm = e.warm[:min(len(e.warm), warmKeep)]
 	if g.set.GrantsCount || g.set.PriorityCount {
 		g.do(Terms{ID: q.ID, MemoryMB: a.grant, Priority: levels - 1 - q.level})
@@ -581,15 +586,6 @@
 	}
 }
 
-func (g *Gateway) callOff(a *attempt) bool {
-	if a.closed || a.called || !g.set.CanCancel || a.q.streamed {
-		return false
-	}
-	a.called = true
-	g.do(Cancel{ID: a.q.ID, Attempt: a.n})
-	return true
-}
-
 // outcome closes an attempt, learns from it and decides what follows.
 func (g *Gateway) outcome(o Outcome) {
 	q := g.open[o.ID]
@@ -700,12 +696,6 @@
 	return least
 }
 
-func (g *Gateway) probed(p Probed) {
-	if e := g.byID[p.Engine]; e != nil && p.Code == OK {
-		g.hear(e, p.Load)
-	}
-}
-
 // progress learns from notes: projected time, memory missing, waits.
 func (g *Gateway) progress(p Progress) {
 	q := g.open[p.ID]
@@ -723,6 +713,9 @@
 		a.spilt = true
 	default:
 		a.standing = true
+		if p.Kind == WaitsLoad { // somebody's load holds the group there
+			a.e.blocked, a.e.blockedAt = q.Tables, g.now
+		}
 	}
 }
 
--- /dev/null
+++ b/choice/rules_test.go
@@ -0,0 +1,294 @@
+package choice
+
+import (
+	"fmt"
+	"testing"
+)
+
+// finals counts the final answers that the gateway gave to a request.
+func finals(acts []Action, id string) (n int) {
+	for _, a := range acts {
+		switch a := a.(type) {
+		case Refuse:
+			if a.ID == id {
+				n++
+			}
+		case Fail:
+			if a.ID == id {
+				n++
+			}
+		}
+	}
+	return n
+}
+
+func TestRuleOneAnswerBeforeTheDeadline(t *testing.T) {
+	for _, tt := range []struct {
+		name    string
+		engines int
+		cancel  bool
+		closes  bool // the attempt's end comes after the answer
+	}{
+		{"no engine at all", 0, true, false},
+		{"an engine that never answers", 1, true, true},
+		{"the same without cancel", 1, false, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSettings()
+			s.CanCancel = tt.cancel
+			b := newBench(t, s, tt.engines)
+			q := b.request(0)
+			acts := b.step(q)
+			acts = append(acts, b.until(q.Due)...)
+			if n := finals(acts, q.ID); n != 1 {
+				t.Fatalf("%d final answers before the deadline", n)
+			}
+			if tt.closes {
+				for i := range only[Send](acts) {
+					acts = append(acts, b.step(Outcome{ID: q.ID, Engine: "e0", Attempt: i, Code: Cancelled, Over: true})...)
+				}
+			}
+			sent := len(only[Send](acts))
+			acts = append(acts, b.until(q.Due+5*sec)...)
+			if n := finals(acts, q.ID); n != 1 || len(only[Send](acts)) != sent {
+				t.Fatalf("%d final answers, %d sends after the end", n, len(only[Send](acts))-sent)
+			}
+		})
+	}
+}
+
+func TestRuleTwoNoEffectTwice(t *testing.T) {
+	for _, tt := range []struct {
+		name   string
+		effect Effect
+		group  Group
+		code   Code
+		wait   Micros // before the outcome
+		again  int    // further sends wanted
+		refuse bool   // a refusal is allowed
+		stays  bool   // further sends stay in the first one's cell
+	}{
+		{"unsafe, never ran", Unsafe, GroupAll, Refused, 1000, 1, true, false},
+		{"unsafe, may have run", Unsafe, GroupAll, Reset, 1000, 0, false, false},
+		{"keyed in a cell, may have run", Keyed, GroupCell, Reset, 1000, 1, false, true},
+		{"keyed in a cell, forgotten", Keyed, GroupCell, Reset, 2 * sec, 0, false, true},
+		{"keyed everywhere, may have run", Keyed, GroupAll, Reset, 1000, 1, true, false},
+		{"safe, may have run", Safe, GroupAll, Reset, 1000, 1, true, false},
+	} {
+		t.Run(tt.name, func(t *testing.T) {
+			s := testSettings()
+			s.Classes[0].Effect, s.Classes[0].Group, s.Classes[0].Window = tt.effect, tt.group, sec
+			s.CanCancel, s.SecondCopies = false, false
+			b := newBench(t, s, 6)
+			q := b.request(0)
+			first := only[Send](b.step(q))[0]
+			b.now += tt.wait
+			acts := b.step(Outcome{ID: q.ID, Engine: first.Engine, Code: tt.code})
+			acts = append(acts, b.until(b.now+sec/4)...)
+			again := only[Send](acts)
+			if len(again) != tt.again {
+				t.Fatalf("%d further sends, want %d", len(again), tt.again)
+			}
+			for _, a := range again {
+				if tt.stays && b.g.byID[a.Engine].Cell != b.g.byID[first.Engine].Cell {
+					t.Fatalf("sent to another cell: %v after %v", a, first)
+				}
+			}
+			acts = append(acts, b.until(q.Due)...)
+			if r := only[Refuse](acts); len(r) > 0 && !tt.refuse {
+				t.Fatalf("refused although it may have run: %v", r)
+			}
+		})
+	}
+}
+
+func TestRuleTwoNeverTwoAtOnce(t *testing.T) {
+	s := testSettings()
+	s.SecondCopies, s.CanCancel = false, false
+	b := newBench(t, s, 4)
+	q := b.request(1)
+	acts := append(b.step(q), b.until(q.Due+sec)...)
+	if n := len(only[Send](acts)); n != 1 {
+		t.Fatalf("%d attempts out at once", n)
+	}
+}
+
+func TestRuleThreeDrainsAreKept(t *testing.T) {
+	for _, state := range []EngineState{Draining, Gone} {
+		b := newBench(t, testSettings(), 2)
+		b.step(Engines{Rows: []Engine{{ID: "e0", State: state}}})
+		for range 100 {
+			b.now += 20000
+			for _, s := range only[Send](b.step(b.request(0))) {
+				if s.Engine == "e0" {
+					t.Fatalf("sent to an engine in state %d", state)
+				}
+			}
+		}
+	}
+	b := newBench(t, testSettings(), 2)
+	b.step(Engines{Whole: true, Rows: []Engine{{ID: "e1"}}})
+	for range 50 {
+		b.now += 20000
+		for _, s := range only[Send](b.step(b.request(0))) {
+			if s.Engine == "e0" {
+				t.Fatal("sent to an engine missing from the whole list")
+			}
+		}
+	}
+}
+
+func TestRuleFourColdEngineGetsOurPartOnly(t *testing.T) {
+	s := testSettings()
+	b := newBench(t, s, 0)
+	b.step(Engines{Whole: true, Rows: []Engine{{ID: "cold", Started: b.now}}})
+	var work float64
+	for range 200 {
+		b.now += 5000
+		for range only[Send](b.step(b.request(0))) {
+			work += 0.1
+		}
+	}
+	budget := s.FallMultiple * s.ColdFrom * 0.85 * 8 * 2 / 2 // multiple × capacity × span, for one of two gateways
+	if work == 0 || work > budget {
+		t.Fatalf("sent %.1f s of work to a cold engine, our part is %.1f s", work, budget)
+	}
+}
+
+func TestRuleFiveOrderOfAKey(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].InTurn, s.TurnGap = true, sec
+	b := newBench(t, s, 4)
+	first, second := b.request(0), b.request(0)
+	first.Key, first.HasKey, second.Key, second.HasKey = 5, true, 5, true
+	sends := only[Send](b.step(first, second))
+	if len(sends) != 1 || sends[0].ID != first.ID {
+		t.Fatalf("want the first request alone, got %v", sends)
+	}
+	b.now += 100000
+	acts := b.step(Outcome{ID: first.ID, Engine: sends[0].Engine, Code: Reset, Over: true})
+	acts = append(acts, b.until(b.now+sec-20000)...)
+	if n := len(only[Send](acts)); n != 0 {
+		t.Fatalf("%d sends while the key rests", n)
+	}
+	b.step(Engines{Rows: []Engine{{ID: "e9"}}})
+	third := b.request(0)
+	third.Key, third.HasKey = 5, true
+	b.step(third)
+	later := only[Send](b.until(b.now + sec/10))
+	if len(later) != 1 || later[0].ID != second.ID {
+		t.Fatalf("want the second request after the rest, got %v", later)
+	}
+}
+
+func TestRuleSixPlacement(t *testing.T) {
+	s := testSettings()
+	s.Classes[0].Zones = []int{1}
+	s.Kinds = append(s.Kinds, Kind{Cores: 8})
+	s.Classes[1].Kinds = []int{1}
+	b := newBench(t, s, 0)
+	b.step(Engines{Whole: true, Rows: []Engine{{ID: "a", Zone: 0}, {ID: "b", Zone: 1}, {ID: "c", Zone: 0, Kind: 1}}})
+	want := []string{"b", "c"}
+	for i := range 100 {
+		b.now += 50000
+		for _, a := range only[Send](b.step(b.request(i % 2))) {
+			if (a.ID != "" && a.Engine != want[0] && a.Engine != want[1]) || b.g.open[a.ID].Class != index(want, a.Engine) {
+				t.Fatalf("%v breaks placement", a)
+			}
+			code := OK
+			if i%3 == 0 {
+				code = Failed
+			}
+			b.step(Outcome{ID: a.ID, Engine: a.Engine, Code: code, Over: code == OK, Took: 1000})
+		}
+	}
+	q := b.request(0)
+	b.step(Engines{Rows: []Engine{{ID: "b", Zone: 1, State: Draining}}})
+	acts := append(b.step(q), b.until(q.Due)...)
+	for _, a := range only[Send](acts) {
+		if a.ID == q.ID {
+			t.Fatalf("sent outside its zone when that drains: %v", a)
+		}
+	}
+	if finals(acts, q.ID) != 1 {
+		t.Fatal("no final answer")
+	}
+}
+
+func index(s []string, v string) int {
+	for i := range s {
+		if s[i] == v {
+			return i
+		}
+	}
+	return -1
+}
+
+func TestRuleSevenRetryBudget(t *testing.T) {
+	s := testSettings()
+	s.BudgetFree, s.BudgetShare, s.BudgetSpan = 3, 0.1, 5*sec
+	b := newBench(t, s, 8)
+	further := 0
+	for range 40 {
+		b.now += 50000
+		for _, a := range only[Send](b.step(b.request(0))) {
+			for at := 0; at < 3; at++ { // every attempt fails at once
+				again := only[Send](b.step(Outcome{ID: a.ID, Attempt: at, Engine: a.Engine, Code: Failed}))
+				if len(again) == 0 {
+					break
+				}
+				further++
+			}
+		}
+	}
+	if most := 3 + 4; further == 0 || further > most {
+		t.Fatalf("%d further attempts, at most %d allowed", further, most)
+	}
+}
+
+func TestNewNamesTheUnusableField(t *testing.T) {
+	for field, spoil := range map[string]func(*Settings){
+		"Classes":             func(s *Settings) { s.Classes = nil },
+		"Classes[1].Deadline": func(s *Settings) { s.Classes[1].Deadline = -1 },
+		"Classes[0].Worth":    func(s *Settings) { s.Classes[0].Worth = -1 },
+		"Classes[0].Kinds":    func(s *Settings) { s.Classes[0].Kinds = []int{3} },
+		"ColdFor":             func(s *Settings) { s.ColdFor = -1 },
+		"Kinds[0]":            func(s *Settings) { s.Kinds[0].Cores = -2 },
+	} {
+		s := testSettings()
+		spoil(&s)
+		if _, err := New(1, s); err == nil || !contains(err.Error(), field) {
+			t.Errorf("%s: error %v does not name it", field, err)
+		}
+	}
+}
+
+func contains(s, sub string) bool {
+	for i := 0; i+len(sub) <= len(s); i++ {
+		if s[i:i+len(sub)] == sub {
+			return true
+		}
+	}
+	return false
+}
+
+func TestUnknownEventsAreIgnored(t *testing.T) {
+	b := newBench(t, testSettings(), 2)
+	q := b.request(0)
+	s := only[Send](b.step(q))[0]
+	b.step(Outcome{ID: q.ID, Engine: s.Engine, Over: true, Took: 1000})
+	acts := b.step(
+		Outcome{ID: q.ID, Engine: s.Engine, Over: true}, Outcome{ID: "none"}, Outcome{ID: q.ID, Attempt: 7},
+		Progress{ID: "none"}, Progress{ID: q.ID, Attempt: -1}, Probed{Engine: "none", Load: &Load{}},
+		First{ID: "none"}, Left{ID: q.ID}, Left{ID: "none"}, Heard{From: 9, Data: []byte{1, 2}},
+		Heard{From: 1, Data: nil}, Heard{From: 1, Data: []byte{0, 1, 3}}, Heard{From: 1, Data: []byte{200, 1}},
+		Request{ID: "odd", Class: 9, Due: b.now + sec}, Engines{Failed: true})
+	if len(only[Send](acts)) != 0 {
+		t.Fatalf("unknown events led to %v", acts)
+	}
+	bare := b.request(0)
+	bare.Cost, bare.MemoryMB, bare.Tenant = 0, 0, 0
+	if len(only[Send](b.step(bare))) != 1 || b.g.open[bare.ID].est <= 0 {
+		t.Fatal(fmt.Sprint("a missing estimate must not count as zero work: ", b.g.open[bare.ID].est))
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -64,12 +64,14 @@
 	at    Micros
 	rates []float64             // by tenant, a second
 	load  map[uint32][2]float64 // by engine: threads, share of memory; looked up only
+	loads []([2]uint32)         // engine and group of each load that is out
 }
 
 // The frame of messages to peers.
 const (
 	tellMost  = 256 // bytes
-	tellRow   = 6   // bytes for an engine
+	tellRow   = 7   // bytes for an engine
+	tellLoad  = 8   // bytes for a load
 	tellScale = 10  // steps of a rate of one a second
 )
 
@@ -104,6 +106,8 @@
 	coldSends     []coldSend
 	warm          []int64 // groups read last, newest first
 	probeAt       Micros
+	blocked       int64 // group that a note said is held by a load
+	blockedAt     Micros
 }
 
 type coldSend struct {
@@ -290,11 +294,20 @@
 		data = binary.BigEndian.AppendUint16(data, uint16(min(t.rate*tellScale, math.MaxUint16)))
 	}
 	for _, e := range g.engines {
-		if len(data)+tellRow <= tellMost && e.threads > 0 {
-			data = binary.BigEndian.AppendUint32(data, hash(e.ID))
+		if len(data)+tellRow < tellMost && e.threads > 0 {
+			data = binary.BigEndian.AppendUint32(append(data, 1), e.key)
 			data = append(data, byte(min(e.threads, math.MaxUint8)), byte(min(e.granted/max(e.memory, 1), 1)*math.MaxUint8))
 		}
 	}
+	data = append(data, 0)
+	for _, e := range g.engines {
+		for _, a := range e.open {
+			if a.q.class.Loads && len(data)+tellLoad <= tellMost {
+				data = binary.BigEndian.AppendUint32(data, e.key)
+				data = binary.BigEndian.AppendUint32(data, uint32(a.q.Tables))
+			}
+		}
+	}
 	g.do(Tell{Data: data})
 }
 
@@ -312,8 +325,11 @@
 		p.rates = append(p.rates, float64(binary.BigEndian.Uint16(data))/tellScale)
 		data = data[2:]
 	}
-	for ; len(data) >= tellRow; data = data[tellRow:] {
-		p.load[binary.BigEndian.Uint32(data)] = [2]float64{float64(data[4]), float64(data[5]) / math.MaxUint8}
+	for ; len(data) >= tellRow && data[0] == 1; data = data[tellRow:] {
+		p.load[binary.BigEndian.Uint32(data[1:])] = [2]float64{float64(data[5]), float64(data[6]) / math.MaxUint8}
+	}
+	for data = data[min(1, len(data)):]; len(data) >= tellLoad; data = data[tellLoad:] {
+		p.loads = append(p.loads, [2]uint32{binary.BigEndian.Uint32(data), binary.BigEndian.Uint32(data[4:])})
 	}
 	if g.peers == nil {
 		g.peers = make([]peer, g.set.Peers)
@@ -324,9 +340,61 @@
 // others is what peers say that they have on an engine: threads and MB.
 func (g *Gateway) others(e *engine) (threads, granted float64) {
 	for _, p := range g.peers {
-		if l, ok := p.load[e.key]; ok && g.since(p.at) < tellFresh*g.tellSpan() {
+		if l, ok := p.load[e.key]; ok && g.freshPeer(p) {
 			threads, granted = threads+l[0], granted+l[1]*e.memory
 		}
 	}
 	return threads, granted
 }
+
+// loading tells that a load holds a group on an engine: ours, a peer's by its
+// word, or anybody's by a note of late. It guards against queries that stand still.
+func (g *Gateway) loading(e *engine, tables int64) bool {
+	if e.blocked == tables && e.blockedAt > 0 && g.now-e.blockedAt <= 2*g.set.ProgressEvery {
+		return true
+	}
+	for _, a := range e.open {
+		if a.q.class.Loads && a.q.Tables == tables {
+			return true
+		}
+	}
+	for _, p := range g.peers {
+		if g.freshPeer(p) && slices.Contains(p.loads, [2]uint32{e.key, uint32(tables)}) {
+			return true
+		}
+	}
+	return false
+}
+
+// freshPeer tells that a peer's word still counts.
+func (g *Gateway) freshPeer(p peer) bool {
+	return p.at > 0 && g.since(p.at) < tellFresh*g.tellSpan()
+}
+
+// talking counts the peers whose word counts, and us.
+func (g *Gateway) talking() int {
+	n := 1
+	for _, p := range g.peers {
+		if g.freshPeer(p) {
+			n++
+		}
+	}
+	return n
+}
+
+// callOff cancels an attempt, where that is allowed.
+func (g *Gateway) callOff(a *attempt) bool {
+	if a.closed || a.called || !g.set.CanCancel || a.q.streamed {
+		return false
+	}
+	a.called = true
+	g.do(Cancel{ID: a.q.ID, Attempt: a.n})
+	return true
+}
+
+// probed takes a probe's report.
+func (g *Gateway) probed(p Probed) {
+	if e := g.byID[p.Engine]; e != nil && p.Code == OK {
+		g.hear(e, p.Load)
+	}
+}
