--- a/choice/choice.go
+++ b/choice/choice.go
@@ -59,13 +59,13 @@
 	speedFloor   = 0.1  // least speed credited to a slow engine, so that it is seen to recover
 	drawPower    = 2.0  // sharpness of the draw against utilisation
 	drawFloor    = 0.03 // least share of room in the draw
-	homeZone     = 1.5  // weight of engines in the gateway's own zone
+	homeZone     = 4.0  // weight of engines in the gateway's own zone
 	heldTables   = 0.1  // weight of an engine where a load holds the group, for classes that wait
 	grantMargin  = 1.25 // memory grant over the estimate where nothing was learned: an engine's own
 	swapMargin   = 4.0  // further margin where engines swap: only the lesser of grant and need counts
 	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
-	warmWeight   = 1.5  // weight of an engine where the group is warm
+	warmWeight   = 4.0  // weight of an engine where the group is warm
 	tellEvery    = 0.25 // seconds between messages to peers; more than tellPeers of them, more rarely
 	tellPeers    = 4
 	tellFresh    = 4   // messages that may be lost before a peer's word is forgotten
