Warmth is learned from answers; the fit starts at half slope around the estimates asked

Cause (ke big-2, first 5 s at 85%): before any answer a rough estimate was believed whole, so queries estimated too high were refused. Hurts for a few seconds where estimates are good.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -40,6 +40,7 @@
 	quantStep    = 0.03 // least step of a learned quantile, in log units
 	meanStep     = 0.02 // weight of one query in a mean cost
 	fitStep      = 0.01 // least weight of one answer in the fit of work to estimate: the last hundred or so
+	firstSlope   = 0.5  // slope of the fit at first: half of what a rough estimate says is believed
 	baseFirst    = 20   // answers of a class from which its fit is learned whatever the crowd
 	coldStretch  = 0.5  // part of the ramp credited to a cold engine: its shape is not told
 	coldSafety   = 0.6  // part of the cold budget used: chance, and peers with more traffic
@@ -65,7 +66,8 @@
 	swapMargin   = 4.0  // further margin where engines swap: only the lesser of grant and need counts
 	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
-	warmWeight   = 4.0  // weight of an engine where the group is warm
+	warmStep     = 0.02 // weight of one answer in what warmth is seen to save
+	warmSharp    = 2.0  // power of the time saved by warmth in the draw
 	tellEvery    = 0.25 // seconds between messages to peers; more than tellPeers of them, more rarely
 	tellPeers    = 4
 	tellFresh    = 4   // messages that may be lost before a peer's word is forgotten
@@ -154,21 +156,18 @@
 	if r.Tenant >= 0 && r.Tenant < len(g.tenants) {
 		g.tenants[r.Tenant].count++
 	}
-	q.est = c.fit.at(float64(r.Cost) / micros)
+	if r.Cost > 0 {
+		c.asked.add(math.Log(float64(r.Cost)/micros), 0.5, quantStep)
+	}
+	q.est = c.fit.at(float64(r.Cost)/micros, c.asked.v, firstSlope)
 	if r.Cost <= 0 { // a missing estimate is never zero work
 		q.est = c.typical()
 	}
 	if r.MemoryMB > 0 {
 		c.memory.add(math.Log(r.MemoryMB), 0.5, quantStep)
 	}
-	if c.mean == 0 {
-		c.mean = q.est
-	}
-	if g.meanCost == 0 {
-		g.meanCost = q.est
-	}
-	c.mean += (q.est - c.mean) * meanStep
-	g.meanCost += (q.est - g.meanCost) * meanStep
+	mean(&c.mean, q.est, meanStep)
+	mean(&g.meanCost, q.est, meanStep)
 	q.worth = g.worthOf(q)
 	q.aim = g.now + c.Aim + Micros(c.AimStretch*q.est/c.threads*micros)
 	g.join(q)
@@ -354,7 +353,7 @@
 		w *= homeZone
 	}
 	if slices.Contains(e.warm, q.Tables) {
-		w *= warmWeight
+		w *= math.Exp(warmSharp * max(0, g.stretch[0]-g.stretch[1]))
 	}
 	if q.class.Waits || q.class.Loads {
 		if g.loading(e, q.Tables) {
@@ -481,7 +480,7 @@
 	g.unhold(q)
 	q.level, _ = g.cheapest(q)
 	a := &attempt{q: q, n: len(q.attempts), e: e, sent: g.now, level: q.level, fresh: true,
-		quiet: g.util(e) < passUtil}
+		quiet: g.util(e) < passUtil, warm: slices.Contains(e.warm, q.Tables)}
 	a.expect = c.service(q.est) / g.speed(e) * (1 + q.restarts)
 	a.grant = g.grant(q, e)
 	g.enter(a)
@@ -509,7 +508,7 @@
 		return 0
 	}
 	c := q.class
-	need := math.Exp(c.memory.v + c.fit.slope()*(math.Log(q.MemoryMB)-c.memory.v) + c.margin)
+	need := math.Exp(c.memory.v + c.fit.slope(firstSlope)*(math.Log(q.MemoryMB)-c.memory.v) + c.margin)
 	if g.set.Shortage == ShortSwap { // what passes the need is not lost to others
 		need *= swapMargin
 	}
@@ -622,6 +621,11 @@
 		x := math.Log(took * c.threads / max(a.q.est, 1e-4))
 		e.slow += (max(-slowClip, min(slowClip, x)) - e.slow) * slowStep
 		e.slowN++
+		warm := &g.stretch[0]
+		if a.warm {
+			warm = &g.stretch[1]
+		}
+		*warm += (max(-slowClip, min(slowClip, x)) - *warm) * warmStep
 		c.ratio.add(x, 0.5, quantStep)
 		if a.q.Cost > 0 && (a.quiet || c.fit.n < baseFirst) {
 			c.fit.add(float64(a.q.Cost)/micros, a.q.est*math.Exp(max(-slowClip, min(slowClip, x))), fitStep)
--- a/choice/state.go
+++ b/choice/state.go
@@ -34,8 +34,9 @@
 	asked    Micros
 	noted    Micros
 	told     Micros
-	peers    []peer  // by number; nil until one was heard
-	meanCost float64 // mean cost of all queries, seconds of work
+	peers    []peer     // by number; nil until one was heard
+	stretch  [2]float64 // mean log stretch of answers where the group was not warm, was warm
+	meanCost float64    // mean cost of all queries, seconds of work
 }
 
 // class is what was learned of one class.
@@ -43,6 +44,7 @@
 	Class
 	threads   float64
 	mean      float64  // mean fitted estimate, seconds
+	asked     quantile // median of log(estimate), of all that came
 	fit       fit      // uncrowded work as a power of the estimate
 	ratio     quantile // median of log(latency × threads ÷ fitted estimate)
 	memory    quantile // median of log(memory estimate)
@@ -149,6 +151,7 @@
 	called   bool    // cancelled
 	total    float64 // projected seconds from progress notes; 0: none
 	late     bool    // found far past expectation
+	warm     bool    // its group was warm there
 	noted    bool    // progress notes came
 	spilt    bool    // it spilled
 	standing bool    // waits for memory or a load
@@ -156,7 +159,7 @@
 
 // fit is a running line through log(work) over log(estimate). Estimates that
 // scatter widely say less than they seem to: the slope shrinks them towards the
-// class's middle. It starts as if five answers had borne the estimates out.
+// class's middle. It starts at a given slope, as if from five answers.
 type fit struct{ n, x, y, xx, xy float64 }
 
 func (f *fit) add(est, work, least float64) {
@@ -170,16 +173,22 @@
 	f.xy = (1 - w) * (f.xy + w*dx*dy)
 }
 
-func (f *fit) slope() float64 {
+func (f *fit) slope(first float64) float64 {
 	n := min(f.n, 100)
-	return max(0, min(1, (f.xy*n+5)/(f.xx*n+5)))
+	return max(0, min(1, (f.xy*n+5*first)/(f.xx*n+5)))
 }
 
-func (f *fit) at(est float64) float64 {
-	if f.n == 0 || est <= 0 {
+// at is the work for an estimate; asked is the middle of log(estimate) until
+// answers come.
+func (f *fit) at(est, asked, first float64) float64 {
+	if est <= 0 {
 		return est
 	}
-	return math.Exp(f.y + f.slope()*(math.Log(est)-f.x))
+	x, y := f.x, f.y
+	if f.n == 0 {
+		x, y = asked, asked
+	}
+	return math.Exp(y + f.slope(first)*(math.Log(est)-x))
 }
 
 // turn keeps the order of one key.
@@ -398,3 +407,11 @@
 		g.hear(e, p.Load)
 	}
 }
+
+// mean moves a running mean, which starts at its first value.
+func mean(m *float64, x, step float64) {
+	if *m == 0 {
+		*m = x
+	}
+	*m += (x - *m) * step
+}
