Others' threads are also read from the engines' count of queries; warmth needs a clear saving

Also covers peers whose messages are lost. Hurts where many queries stand still behind loads: they count.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -67,6 +67,7 @@
 	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
 	warmStep     = 0.02 // weight of one answer in what warmth is seen to save
+	warmSlack    = 0.1  // log saving below which warmth is taken for scatter
 	warmSharp    = 2.0  // power of the time saved by warmth in the draw
 	tellEvery    = 0.25 // seconds between messages to peers; more than tellPeers of them, more rarely
 	tellPeers    = 4
@@ -353,7 +354,7 @@
 		w *= homeZone
 	}
 	if slices.Contains(e.warm, q.Tables) {
-		w *= math.Exp(warmSharp * max(0, g.stretch[0]-g.stretch[1]))
+		w *= math.Exp(warmSharp * max(0, g.stretch[0]-g.stretch[1]-warmSlack))
 	}
 	if q.class.Waits || q.class.Loads {
 		if g.loading(e, q.Tables) {
@@ -484,6 +485,7 @@
 	a.expect = c.service(q.est) / g.speed(e) * (1 + q.restarts)
 	a.grant = g.grant(q, e)
 	g.enter(a)
+	mean(&g.meanThreads, c.threads, meanStep)
 	if e.suspect {
 		e.trickleAt = g.now + Micros(trickleEvery*micros)
 	}
--- a/choice/state.go
+++ b/choice/state.go
@@ -13,30 +13,31 @@
 
 // Gateway decides for one dispatcher. It is not safe for concurrent use.
 type Gateway struct {
-	set      Settings
-	rng      *rand.Rand
-	now      Micros
-	begun    bool
-	out      []Action
-	classes  []class
-	tenants  []tenant
-	engines  []*engine
-	byID     map[string]*engine
-	open     map[string]*request // looked up only, never ranged over
-	live     []*request          // in the order taken
-	held     []*request          // at the gate, waiting for room
-	turns    map[int64]*turn     // looked up only
-	taken    []Micros            // requests taken within the budget's span
-	further  []Micros            // further attempts within it
-	threads  [levels]float64     // own threads in flight at each level
-	priced   Micros
-	wakeAt   Micros
-	asked    Micros
-	noted    Micros
-	told     Micros
-	peers    []peer     // by number; nil until one was heard
-	stretch  [2]float64 // mean log stretch of answers where the group was not warm, was warm
-	meanCost float64    // mean cost of all queries, seconds of work
+	set         Settings
+	rng         *rand.Rand
+	now         Micros
+	begun       bool
+	out         []Action
+	classes     []class
+	tenants     []tenant
+	engines     []*engine
+	byID        map[string]*engine
+	open        map[string]*request // looked up only, never ranged over
+	live        []*request          // in the order taken
+	held        []*request          // at the gate, waiting for room
+	turns       map[int64]*turn     // looked up only
+	taken       []Micros            // requests taken within the budget's span
+	further     []Micros            // further attempts within it
+	threads     [levels]float64     // own threads in flight at each level
+	priced      Micros
+	wakeAt      Micros
+	asked       Micros
+	noted       Micros
+	told        Micros
+	peers       []peer     // by number; nil until one was heard
+	stretch     [2]float64 // mean log stretch of answers where the group was not warm, was warm
+	meanThreads float64    // of a query sent
+	meanCost    float64    // mean cost of all queries, seconds of work
 }
 
 // class is what was learned of one class.
@@ -346,13 +347,18 @@
 	g.peers[h.From] = p
 }
 
-// others is what peers say that they have on an engine: threads and MB.
+// others is what others have on an engine, threads and MB: what peers say, or
+// what the engine's count of queries leaves after ours. The count also holds
+// attempts that timed out and run on, where nothing stops them.
 func (g *Gateway) others(e *engine) (threads, granted float64) {
 	for _, p := range g.peers {
 		if l, ok := p.load[e.key]; ok && g.freshPeer(p) {
 			threads, granted = threads+l[0], granted+l[1]*e.memory
 		}
 	}
+	if e.loadAt > 0 && e.load.InFlight > 0 {
+		threads = max(threads, e.load.InFlight*g.meanThreads-(e.threads-e.newThreads))
+	}
 	return threads, granted
 }
 
