Restarts no longer hide a hung engine: unanswered ones count in the silence test; tests hardened by mutation

Cause: found by a test whose cancelled attempts are closed: where attempts may be cancelled, each is called off before the silence test sees it, so a hung engine kept drawing 13 sends a second. Each rule and failure test was seen to fail with its defence switched off, save two whose defences are double (unsafe repeats; deadline and class limits of the free-core pass).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -648,11 +648,11 @@
 	default:
 		return
 	}
-	e.heard = g.now
-	e.faults += (fault - e.faults) * faultStep
+	e.heard, e.unanswered = g.now, 0
 	if o.Code == Refused || o.Code == Reset { // it may come back cold, before the list tells
 		e.coldSince = g.now
 	}
+	e.faults += (fault - e.faults) * faultStep
 	if !e.suspect && e.faults > faultHigh {
 		g.distrust(e, "faults")
 	} else if e.suspect && e.faults < faultLow {
@@ -730,10 +730,7 @@
 
 // list keeps up with the engine list.
 func (g *Gateway) list(l Engines) {
-	if l.Failed {
-		return // asked again by watch
-	}
-	if l.Whole {
+	if l.Whole { // a failed call carries nothing; watch asks again
 		for _, e := range g.engines {
 			if !slices.ContainsFunc(l.Rows, func(r Engine) bool { return r.ID == e.ID }) {
 				e.State = Gone
@@ -743,7 +740,7 @@
 	for _, r := range l.Rows {
 		e := g.byID[r.ID]
 		if e == nil {
-			e = &engine{Engine: r, cores: 1}
+			e = &engine{Engine: r, cores: 1, heard: g.now}
 			if r.Kind >= 0 && r.Kind < len(g.set.Kinds) {
 				e.cores = float64(max(g.set.Kinds[r.Kind].Cores, 1))
 				e.memory = g.set.Kinds[r.Kind].MemoryMB
@@ -808,10 +805,10 @@
 
 // silent distrusts an engine whose open attempts are all far past expectation.
 func (g *Gateway) silent(e *engine) {
-	if e.suspect || len(e.open) == 0 || g.since(e.heard) < silentFloor {
+	if e.suspect || g.since(e.heard) < silentFloor {
 		return
 	}
-	overdue := 0.0
+	overdue := e.unanswered
 	for _, a := range e.open {
 		if age := g.since(a.sent); !a.standing && age > silentFloor && a.sent >= e.heard {
 			overdue += math.Floor(min(age/(silentTimes*a.expect), 2))
@@ -848,6 +845,9 @@
 		if bad && !lost {
 			q.restarts++
 		}
+		if a.sent >= a.e.heard { // a restart must not hide that nothing comes from there
+			a.e.unanswered++
+		}
 	}
 }
 
--- a/choice/failures_test.go
+++ b/choice/failures_test.go
@@ -47,7 +47,11 @@
 	late := 0
 	for i := range 400 {
 		b.now += 20000
-		for _, s := range only[Send](b.step(b.request(0))) {
+		acts := b.step(b.request(0))
+		for _, c := range only[Cancel](acts) {
+			acts = append(acts, b.step(Outcome{ID: c.ID, Attempt: c.Attempt, Code: Cancelled})...)
+		}
+		for _, s := range only[Send](acts) {
 			if s.Engine != "e0" {
 				b.step(Outcome{ID: s.ID, Engine: s.Engine, Over: true, Took: 100000})
 			} else if i > 200 {
@@ -165,7 +169,7 @@
 // A load holds its group on its engine: queries that wait for it go elsewhere.
 func TestWaitingClassesAvoidLoads(t *testing.T) {
 	s := testSettings()
-	s.Classes[0].Waits, s.Classes[1].Loads = true, true
+	s.Classes[0].Waits, s.Classes[1].Loads, s.Classes[1].Threads = true, true, 1
 	b := newBench(t, s, 4)
 	load := b.request(1)
 	load.Tables = 9
@@ -189,7 +193,9 @@
 
 // The engines' count of queries shows attempts that timed out and run on.
 func TestCountOfQueriesFillsTheRoom(t *testing.T) {
-	b := newBench(t, testSettings(), 1)
+	set := testSettings()
+	set.Peers = 1
+	b := newBench(t, set, 1)
 	q := b.request(0)
 	s := only[Send](b.step(q))[0]
 	b.step(Outcome{ID: q.ID, Engine: s.Engine, Over: true, Took: 100000, Load: &Load{Util: 0.2, InFlight: 40}})
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -71,37 +71,53 @@
 		{"unsafe, never ran", Unsafe, GroupAll, Refused, 1000, 1, true, false},
 		{"unsafe, may have run", Unsafe, GroupAll, Reset, 1000, 0, false, false},
 		{"keyed in a cell, may have run", Keyed, GroupCell, Reset, 1000, 1, false, true},
-		{"keyed in a cell, forgotten", Keyed, GroupCell, Reset, 2 * sec, 0, false, true},
+		{"keyed in a cell, forgotten", Keyed, GroupCell, Reset, 3 * sec / 2, 0, false, true},
 		{"keyed everywhere, may have run", Keyed, GroupAll, Reset, 1000, 1, true, false},
 		{"safe, may have run", Safe, GroupAll, Reset, 1000, 1, true, false},
 	} {
 		t.Run(tt.name, func(t *testing.T) {
 			s := testSettings()
 			s.Classes[0].Effect, s.Classes[0].Group, s.Classes[0].Window = tt.effect, tt.group, sec
+			s.Classes[0].Aim = 3 * sec
 			s.CanCancel, s.SecondCopies = false, false
 			b := newBench(t, s, 6)
-			q := b.request(0)
-			first := only[Send](b.step(q))[0]
-			b.now += tt.wait
-			acts := b.step(Outcome{ID: q.ID, Engine: first.Engine, Code: tt.code})
-			acts = append(acts, b.until(b.now+sec/4)...)
-			again := only[Send](acts)
-			if len(again) != tt.again {
-				t.Fatalf("%d further sends, want %d", len(again), tt.again)
-			}
-			for _, a := range again {
-				if tt.stays && b.g.byID[a.Engine].Cell != b.g.byID[first.Engine].Cell {
-					t.Fatalf("sent to another cell: %v after %v", a, first)
-				}
-			}
-			acts = append(acts, b.until(q.Due)...)
-			if r := only[Refuse](acts); len(r) > 0 && !tt.refuse {
-				t.Fatalf("refused although it may have run: %v", r)
+			for range 12 {
+				b.now += 5 * sec
+				playTwo(t, b, tt.code, tt.wait, tt.again, tt.refuse, tt.stays)
 			}
 		})
 	}
 }
 
+// playTwo plays one request whose first attempt ends with a code.
+func playTwo(t *testing.T, b *bench, code Code, wait Micros, wanted int, refuse, stays bool) {
+	t.Helper()
+	q := b.request(0)
+	first := only[Send](b.step(q))[0]
+	b.now += wait
+	acts := b.step(Outcome{ID: q.ID, Engine: first.Engine, Code: code})
+	acts = append(acts, b.until(b.now+sec/4)...)
+	again := only[Send](acts)
+	if len(again) != wanted {
+		t.Fatalf("%d further sends, want %d", len(again), wanted)
+	}
+	for _, a := range again {
+		if stays && b.g.byID[a.Engine].Cell != b.g.byID[first.Engine].Cell {
+			t.Fatalf("sent to another cell: %v after %v", a, first)
+		}
+	}
+	acts = append(acts, b.until(q.Due)...)
+	if r := only[Refuse](acts); len(r) > 0 && !refuse {
+		t.Fatalf("refused although it may have run: %v", r)
+	}
+	for i := range again { // let the engines be trusted again
+		b.step(Outcome{ID: q.ID, Attempt: 1 + i, Engine: again[i].Engine, Over: true, Took: 100000})
+	}
+	for _, e := range b.g.engines {
+		e.faults, e.suspect, e.coldSince = 0, false, 0
+	}
+}
+
 func TestRuleTwoNeverTwoAtOnce(t *testing.T) {
 	s := testSettings()
 	s.SecondCopies, s.CanCancel = false, false
@@ -143,10 +159,11 @@
 	b := newBench(t, s, 0)
 	b.step(Engines{Whole: true, Rows: []Engine{{ID: "cold", Started: b.now}}})
 	var work float64
-	for range 200 {
+	for range 380 {
 		b.now += 5000
-		for range only[Send](b.step(b.request(0))) {
+		for _, s := range only[Send](b.step(b.request(0))) {
 			work += 0.1
+			b.step(Outcome{ID: s.ID, Engine: s.Engine, Over: true, Took: 100000})
 		}
 	}
 	budget := s.FallMultiple * s.ColdFrom * 0.85 * 8 * 2 / 2 // multiple × capacity × span, for one of two gateways
--- a/choice/state.go
+++ b/choice/state.go
@@ -103,6 +103,7 @@
 	slowN         float64
 	faults        float64 // recent share of faults
 	heard         Micros  // last answer
+	unanswered    float64 // attempts called off since
 	suspect       bool
 	trickleAt     Micros
 	coldSince     Micros
