--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,7 @@
 	drawFloor    = 0.03 // least share of room in the draw
 	homeZone     = 4.0  // weight of engines in the gateway's own zone
 	heldTables   = 0.1  // weight of an engine where a load holds the group, for classes that wait
-	grantMargin  = 1.25 // memory grant over the estimate where nothing was learned: an engine's own
+	grantMargin  = 1.75 // memory grant over the estimate where nothing was learned: an engine's own
 	swapMargin   = 4.0  // further margin where engines swap: only the lesser of grant and need counts
 	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
