--- a/choice/choice.go
+++ b/choice/choice.go
@@ -62,7 +62,8 @@
 	drawFloor    = 0.03 // least share of room in the draw
 	homeZone     = 4.0  // weight of engines in the gateway's own zone
 	heldTables   = 0.1  // weight of an engine where a load holds the group, for classes that wait
-	grantMargin  = 1.75 // memory grant over the estimate where nothing was learned: an engine's own
+	grantMargin  = 1.75 // first memory grant over the fitted estimate: it may lie low, and a spill costs more
+	blindMargin  = 2.5  // the same where no notes tell of spills: nothing would correct it
 	swapMargin   = 4.0  // further margin where engines swap: only the lesser of grant and need counts
 	grantRank    = 0.85 // share of attempts whose grant is to cover their need
 	warmKeep     = 4    // groups of tables taken to be warm on an engine
@@ -85,8 +86,11 @@
 	g := &Gateway{set: s, rng: rand.New(rand.NewPCG(seed, 0x9e3779b97f4a7c15)),
 		byID: map[string]*engine{}, open: map[string]*request{}, turns: map[int64]*turn{}}
 	for _, c := range s.Classes {
-		threads := float64(max(c.Threads, 1))
-		g.classes = append(g.classes, class{Class: c, threads: threads, margin: math.Log(grantMargin)})
+		margin := math.Log(grantMargin)
+		if s.ProgressEvery == 0 {
+			margin = math.Log(blindMargin)
+		}
+		g.classes = append(g.classes, class{Class: c, threads: float64(max(c.Threads, 1)), margin: margin})
 	}
 	for _, t := range s.Tenants {
 		g.tenants = append(g.tenants, tenant{allowance: t.Allowance})
@@ -833,11 +837,8 @@
 	if !lost && !bad || a.standing {
 		return
 	}
-	fresh := q.class.service(q.est)
-	if float64(q.Due-g.guard()-g.now)/micros < fresh || len(q.attempts) >= g.set.MaxAttempts || q.redo {
-		return
-	}
-	if q.class.Effect == Unsafe || !g.inBudget() {
+	late := float64(q.Due-g.guard()-g.now)/micros < q.class.service(q.est)
+	if late || q.redo || len(q.attempts) >= g.set.MaxAttempts || q.class.Effect == Unsafe || !g.inBudget() {
 		return
 	}
 	if g.callOff(a) {
