Asked-for list: the subscription is renewed, and a second after a failed call

A failed call could end the subscription and only single fetches followed. The test was seen to fail without the answer to a failed call. May load discovery: one call a second at most.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -73,6 +73,7 @@
 	tellEvery    = 0.25 // seconds between messages to peers; more than tellPeers of them, more rarely
 	tellPeers    = 4
 	tellFresh    = 4   // messages that may be lost before a peer's word is forgotten
+	askEvery     = 1.0 // least seconds between two calls for the engine list
 	noteEvery    = 1.0 // seconds between two log lines
 	micros       = 1e6 // microseconds in a second
 )
@@ -102,10 +103,7 @@
 func (g *Gateway) Step(now Micros, events []Event) []Action {
 	g.now, g.out = now, nil
 	if !g.begun {
-		g.begun, g.priced, g.asked = true, now, now
-		if g.set.AskForList {
-			g.do(Watch{})
-		}
+		g.begun, g.priced = true, now
 	}
 	for _, ev := range events {
 		switch ev := ev.(type) {
@@ -734,7 +732,10 @@
 
 // list keeps up with the engine list.
 func (g *Gateway) list(l Engines) {
-	if l.Whole { // a failed call carries nothing; watch asks again
+	if l.Failed {
+		g.askAt = min(g.askAt, g.now+Micros(askEvery*micros))
+	}
+	if l.Whole {
 		for _, e := range g.engines {
 			if !slices.ContainsFunc(l.Rows, func(r Engine) bool { return r.ID == e.ID }) {
 				e.State = Gone
@@ -775,9 +776,9 @@
 		g.reprice()
 		g.priced = g.now
 	}
-	if g.set.AskForList && g.set.AskWithin > 0 && g.now-g.asked > g.set.AskWithin/4 {
-		g.asked = g.now
-		g.do(Fetch{})
+	if g.set.AskForList && g.now >= g.askAt { // a failed call may have ended the subscription
+		g.askAt = g.now + max(g.set.AskWithin/4, Micros(askEvery*micros))
+		g.do(Watch{})
 	}
 	if g.set.CanTell && g.set.Peers > 1 && g.since(g.told) >= g.tellSpan() {
 		g.told = g.now
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -309,3 +309,29 @@
 		t.Fatal(fmt.Sprint("a missing estimate must not count as zero work: ", b.g.open[bare.ID].est))
 	}
 }
+
+// Where the list must be asked for, a call goes out at once, in time, and soon
+// after one that failed; elsewhere none does.
+func TestListIsAskedFor(t *testing.T) {
+	s := testSettings()
+	s.AskForList, s.AskWithin = true, 100*sec
+	g, err := New(1, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	b := &bench{t: t, g: g, now: 100 * sec}
+	if n := len(only[Watch](b.step())); n != 1 {
+		t.Fatalf("%d calls at the start", n)
+	}
+	if n := len(only[Watch](b.until(b.now + 26*sec))); n < 1 || n > 2 {
+		t.Fatalf("%d calls within the time to ask", n)
+	}
+	b.step(Engines{Failed: true})
+	if n := len(only[Watch](b.until(b.now + 3*sec/2))); n < 1 || n > 2 {
+		t.Fatalf("%d calls after a failed one", n)
+	}
+	plain := newBench(t, testSettings(), 1)
+	if n := len(only[Watch](plain.until(plain.now + 20*sec))); n != 0 {
+		t.Fatalf("%d calls where the list comes by itself", n)
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -31,7 +31,7 @@
 	threads     [levels]float64     // own threads in flight at each level
 	priced      Micros
 	wakeAt      Micros
-	asked       Micros
+	askAt       Micros // next call for the engine list
 	noted       Micros
 	told        Micros
 	peers       []peer     // by number; nil until one was heard
