--- /dev/null
+++ b/cmd/embercheck/main.go
@@ -0,0 +1,34 @@
+// Command embercheck validates a configuration and prints what is in effect, defaults included.
+package main
+
+import (
+	"fmt"
+	"os"
+
+	"github.com/alecthomas/kong"
+
+	"embershunt/config"
+)
+
+var cli struct {
+	File  string `arg:"" type:"existingfile" help:"Configuration file (JSON with comments)."`
+	Quiet bool   `short:"q" help:"Print nothing but mistakes."`
+}
+
+// Exit codes: 0 valid, 1 with mistakes, 2 wrong usage.
+func main() {
+	kong.Parse(&cli, kong.Name("embercheck"), kong.Description("Checks a dispatcher's configuration."))
+	cfg, err := config.Load(cli.File)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(1)
+	}
+	text, err := cfg.Effective()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "embercheck:", err)
+		os.Exit(1)
+	}
+	if !cli.Quiet {
+		fmt.Println(string(text))
+	}
+}
--- /dev/null
+++ b/cmd/emberdispatch/main.go
@@ -0,0 +1,133 @@
+// Command emberdispatch is the dispatcher: it takes Arrow Flight SQL sessions and routes their queries to query nodes.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"go.opentelemetry.io/otel/exporters/stdout/stdouttrace"
+	sdktrace "go.opentelemetry.io/otel/sdk/trace"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+
+	"embershunt/config"
+	"embershunt/dispatch"
+	"embershunt/dispatcher"
+	"embershunt/internal/logs"
+)
+
+var cli struct {
+	Config string `arg:"" optional:"" type:"existingfile" help:"Configuration file (JSON with comments)."`
+	Demo   bool   `help:"Serve 127.0.0.1:32010 with three stand-in query nodes in this process; any user and password."`
+	Seed   uint64 `help:"Seed of the decision module's random numbers; 0 draws one."`
+}
+
+// Exit codes: 0 drained, 1 failed, 2 wrong usage or configuration, 3 ended by a second signal.
+func main() {
+	kong.Parse(&cli, kong.Name("emberdispatch"), kong.Description("Admits queries and routes them to query nodes."))
+	if cli.Demo == (cli.Config != "") {
+		fmt.Fprintln(os.Stderr, "emberdispatch: give a configuration file or --demo")
+		os.Exit(2)
+	}
+	os.Exit(run())
+}
+
+func run() int {
+	cfg, stop, err := configuration()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer stop()
+	log, flush, err := logs.New(cfg.File.Log.Level, cfg.File.Log.Format)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberdispatch: log:", err)
+		return 2
+	}
+	defer flush()
+	tracer, closeTraces, err := traces(cfg.File.Log.Traces)
+	if err != nil {
+		log.Error("traces cannot be written", "error", err)
+		return 2
+	}
+	defer closeTraces()
+	d, err := dispatcher.New(cfg, dispatcher.Options{Log: log, Seed: cli.Seed, Tracer: tracer})
+	if err != nil {
+		log.Error("cannot start", "error", err)
+		return 1
+	}
+	log.Info("serving Flight SQL", "address", d.Address())
+	if cli.Demo {
+		fmt.Printf("\nTry: go run ./cmd/emberquery 'SELECT * FROM policy /* work_ms=20 rows=3 */'\n\n")
+	}
+	var group errgroup.Group
+	ctx, cancel := context.WithCancel(context.Background())
+	signals := make(chan os.Signal, 2)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	second := false
+	group.Go(func() error {
+		select {
+		case <-signals:
+			d.Drain()
+		case <-ctx.Done():
+			return nil
+		}
+		select {
+		case <-signals:
+			second = true
+			cancel()
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	err = d.Run(ctx)
+	cancel()
+	group.Wait()
+	var panicked *dispatch.PanicError
+	switch {
+	case second:
+		log.Warn("ended by a second signal; what was held has been failed")
+		return 3
+	case errors.As(err, &panicked):
+		log.Error(err.Error(), "stack", string(panicked.Stack))
+		return 1
+	case err != nil:
+		log.Error("ended", "error", err)
+		return 1
+	}
+	log.Info("drained")
+	return 0
+}
+
+// traces opens the file that spans are appended to; without one there are no spans.
+func traces(path string) (trace.Tracer, func(), error) {
+	if path == "" {
+		return nil, func() {}, nil
+	}
+	f, err := os.OpenFile(path, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, nil, err
+	}
+	exporter, err := stdouttrace.New(stdouttrace.WithWriter(f))
+	if err != nil {
+		return nil, nil, err
+	}
+	p := sdktrace.NewTracerProvider(sdktrace.WithBatcher(exporter))
+	return p.Tracer("embershunt"), func() {
+		p.Shutdown(context.Background())
+		f.Close()
+	}, nil
+}
+
+func configuration() (*config.Config, func(), error) {
+	if cli.Demo {
+		return demo()
+	}
+	cfg, err := config.Load(cli.Config)
+	return cfg, func() {}, err
+}
--- /dev/null
+++ b/config/config.go
@@ -0,0 +1,515 @@
+package config
+
+import (
+	"encoding/hex"
+	"encoding/json"
+	"fmt"
+	"net"
+	"os"
+	"regexp"
+	"strings"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/classify"
+)
+
+// File is a configuration as it is written. docs/operators.md describes each field.
+type File struct {
+	Name    string   `json:"name"`
+	Halls   []string `json:"halls"`
+	Hall    string   `json:"hall"`
+	Peers   int      `json:"dispatchers"` // that share the fleet, this one included
+	Number  int      `json:"number"`      // of this one among them, from 0
+	Listen  Listen   `json:"listen"`
+	Keys    []string `json:"keys"` // hex, 32 bytes each; the first seals, all open
+	AnyUser bool     `json:"any_user"`
+	Users   []User   `json:"users"`
+	Nodes   Nodes    `json:"nodes"`
+	Kinds   []Kind   `json:"kinds"`
+	Classes []Class  `json:"classes"`
+	Default string   `json:"default_class"`
+	Tenants []Tenant `json:"tenants"`
+	Limits  Limits   `json:"limits"`
+	Rules   []Rule   `json:"rules"`
+	NoHints bool     `json:"no_hints"` // hint comments and headers are not heeded
+	Sending Sending  `json:"sending"`
+	Front   Front    `json:"front"`
+	Log     Log      `json:"log"`
+}
+
+// Listen has the addresses served.
+type Listen struct {
+	FlightSQL string `json:"flightsql"`
+	Metrics   string `json:"metrics"` // empty: none
+}
+
+// User may connect.
+type User struct {
+	Name   string `json:"name"`
+	Bcrypt string `json:"bcrypt"`
+}
+
+// Nodes says where the node list comes from: exactly one of the three.
+type Nodes struct {
+	File string `json:"file"`
+	EDS  *EDS   `json:"eds"`
+	List []Node `json:"list"`
+}
+
+// EDS is an xDS v3 control service.
+type EDS struct {
+	Address string `json:"address"`
+	Cluster string `json:"cluster"`
+}
+
+// Node is one row of a list in a file.
+type Node struct {
+	Name    string  `json:"name"`
+	Address string  `json:"address"`
+	Hall    string  `json:"hall"`
+	Kind    string  `json:"kind"`
+	Cell    int     `json:"cell"`
+	State   string  `json:"state"`   // healthy, draining or gone; empty: healthy
+	Started string  `json:"started"` // RFC 3339; empty: long ago
+	Weight  float64 `json:"weight"`
+}
+
+// Kind is one kind of machine.
+type Kind struct {
+	Name     string  `json:"name"`
+	Cores    int     `json:"cores"`
+	MemoryMB float64 `json:"memory_mb"`
+}
+
+// Class is one class of queries.
+type Class struct {
+	Name       string   `json:"name"`
+	Worth      float64  `json:"worth"`
+	LateWorth  float64  `json:"late_worth"`
+	Aim        Duration `json:"aim"`
+	AimStretch float64  `json:"aim_stretch"`
+	Deadline   Duration `json:"deadline"`
+	Threads    int      `json:"threads"`
+	Effect     string   `json:"effect"`  // of what only reads: safe, keyed or unsafe; empty: safe
+	Updates    string   `json:"updates"` // of what writes; empty: unsafe
+	Group      string   `json:"group"`   // all, hall or cell: nodes that drop repeats of a keyed query
+	Window     Duration `json:"window"`  // how long they remember it
+	InTurn     bool     `json:"in_turn"`
+	Halls      []string `json:"halls"`
+	Kinds      []string `json:"kinds"`
+	Loads      bool     `json:"loads"`
+	Waits      bool     `json:"waits"`
+}
+
+// Tenant has a share of the service.
+type Tenant struct {
+	Name      string  `json:"name"`
+	PerSecond float64 `json:"per_second"`
+}
+
+// Limits bound what the dispatcher does. Zero values mean the defaults, which embercheck prints.
+type Limits struct {
+	Attempts       int      `json:"attempts"`
+	Held           int      `json:"held"`
+	ComeBack       Duration `json:"come_back"`
+	SecondCopies   bool     `json:"second_copies"`
+	DrainGrace     Duration `json:"drain_grace"`
+	TurnRest       Duration `json:"turn_rest"`
+	BudgetFree     float64  `json:"budget_free"`
+	BudgetShare    float64  `json:"budget_share"`
+	BudgetSpan     Duration `json:"budget_span"` // 0: no budget
+	ColdFrom       float64  `json:"cold_from"`
+	ColdFor        Duration `json:"cold_for"`
+	ColdMultiple   float64  `json:"cold_multiple"`
+	ColdSpan       Duration `json:"cold_span"`
+	OverShareWorth float64  `json:"over_share_worth"`
+}
+
+// Sending says what nodes heed.
+type Sending struct {
+	Grants      bool     `json:"grants"`
+	GrantShare  float64  `json:"grant_share"`
+	Priorities  bool     `json:"priorities"`
+	Probes      bool     `json:"probes"`
+	Shortage    string   `json:"shortage"` // queue, trim or swap
+	Connect     Duration `json:"connect_timeout"`
+	MaxFrame    int      `json:"max_frame_bytes"`
+	PassHeaders []string `json:"pass_headers"`
+}
+
+// Front bounds what clients may do.
+type Front struct {
+	WayBack      Duration `json:"way_back"`
+	TicketLife   Duration `json:"ticket_life"`
+	PreparedLife Duration `json:"prepared_life"`
+	BearerLife   Duration `json:"bearer_life"`
+	SchemaLife   Duration `json:"schema_life"`
+	SchemaMost   int      `json:"schema_most"`
+	MaxStatement int      `json:"max_statement_bytes"`
+	MaxParams    int      `json:"max_parameter_bytes"`
+}
+
+// Log says what is logged.
+type Log struct {
+	Level  string `json:"level"`  // debug, info, warn or error
+	Format string `json:"format"` // json or console
+	Traces string `json:"traces"` // file that spans are appended to, as JSON; empty: none
+}
+
+// Rule gives traits to queries that meet all of its conditions.
+type Rule struct {
+	Name      string   `json:"name"`
+	User      string   `json:"user"`      // pattern, as all below
+	Header    string   `json:"header"`    // name of a call header
+	Option    string   `json:"option"`    // name of a session option
+	Value     string   `json:"value"`     // pattern for the header or option
+	Statement string   `json:"statement"` // pattern
+	Command   string   `json:"command"`   // pattern for the name of the Flight SQL command
+	Class     string   `json:"class"`
+	Tenant    string   `json:"tenant"`
+	Cost      Duration `json:"cost"`
+	MemoryMB  float64  `json:"memory_mb"`
+	Key       string   `json:"key"`
+	Tables    string   `json:"tables"`
+}
+
+// Config is a configuration in effect.
+type Config struct {
+	File     File
+	Settings choice.Settings
+	Classes  classify.Table
+	Keys     [][]byte
+}
+
+// Load reads and validates a file.
+func Load(path string) (*Config, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(path, text)
+}
+
+// Parse validates a configuration. Its error is *Mistakes.
+func Parse(name string, text []byte) (*Config, error) {
+	c := &Config{}
+	d, err := parse(name, text, &c.File)
+	if err != nil {
+		return nil, err
+	}
+	c.File.defaults()
+	c.check(d)
+	if len(d.all) > 0 {
+		return nil, &Mistakes{name, d.all}
+	}
+	return c, nil
+}
+
+func or[T comparable](p *T, v T) {
+	var zero T
+	if *p == zero {
+		*p = v
+	}
+}
+
+func (f *File) defaults() {
+	or(&f.Name, "dispatcher")
+	if len(f.Halls) == 0 {
+		f.Halls = []string{"hall"}
+	}
+	or(&f.Hall, f.Halls[0])
+	or(&f.Peers, 1)
+	or(&f.Listen.FlightSQL, "127.0.0.1:32010")
+	if len(f.Classes) > 0 {
+		or(&f.Default, f.Classes[0].Name)
+	}
+	for i := range f.Classes {
+		c := &f.Classes[i]
+		or(&c.Effect, "safe")
+		or(&c.Updates, "unsafe")
+		or(&c.Group, "all")
+		or(&c.Threads, 1)
+		or(&c.Worth, 1)
+	}
+	l := &f.Limits
+	or(&l.Attempts, 3)
+	or(&l.Held, 20000)
+	or(&l.ComeBack, Duration(2*time.Second))
+	or(&l.DrainGrace, Duration(2*time.Second))
+	or(&l.TurnRest, Duration(time.Second))
+	or(&l.ColdFrom, 0.34)
+	or(&l.ColdFor, Duration(15*time.Second))
+	or(&l.ColdMultiple, 2)
+	or(&l.ColdSpan, Duration(2*time.Second))
+	or(&l.OverShareWorth, 0.05)
+	s := &f.Sending
+	or(&s.GrantShare, 0.4)
+	or(&s.Shortage, "trim")
+	or(&s.Connect, Duration(250*time.Millisecond))
+	or(&s.MaxFrame, 16<<20)
+	r := &f.Front
+	or(&r.WayBack, Duration(10*time.Millisecond))
+	or(&r.TicketLife, Duration(10*time.Minute))
+	or(&r.PreparedLife, Duration(24*time.Hour))
+	or(&r.BearerLife, Duration(time.Hour))
+	or(&r.SchemaLife, Duration(5*time.Minute))
+	or(&r.SchemaMost, 4096)
+	or(&r.MaxStatement, 2<<20)
+	or(&r.MaxParams, 256<<10)
+	or(&f.Log.Level, "info")
+	or(&f.Log.Format, "json")
+}
+
+// Effective is the configuration with all defaults, as JSON.
+func (c *Config) Effective() ([]byte, error) { return json.MarshalIndent(c.File, "", "  ") }
+
+var (
+	effects   = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
+	groups    = map[string]choice.Group{"all": choice.GroupAll, "hall": choice.GroupZone, "cell": choice.GroupCell}
+	shortages = map[string]choice.Shortage{"queue": choice.ShortQueue, "trim": choice.ShortTrim,
+		"swap": choice.ShortSwap}
+)
+
+// check validates what the types alone cannot say and derives what the module is told.
+func (c *Config) check(d *decoder) {
+	f := &c.File
+	index := func(path, name string, names []string) int {
+		for i, n := range names {
+			if n == name {
+				return i
+			}
+		}
+		d.wrong(path, quoted(name), strings.Join(names, ", "))
+		return -1
+	}
+	unique := func(path string, names []string) {
+		seen := map[string]bool{}
+		for i, n := range names {
+			at := fmt.Sprintf("%s[%d]", path, i)
+			if n == "" {
+				d.wrong(at, "no name", "a name that is not empty")
+			} else if seen[n] {
+				d.wrong(at, quoted(n)+" a second time", "each name once")
+			}
+			seen[n] = true
+		}
+	}
+	within := func(path string, v, least, most float64) {
+		if !(v >= least && v <= most) {
+			d.wrong(path, fmt.Sprint(v), fmt.Sprintf("%v to %v", least, most))
+		}
+	}
+	span := func(path string, v Duration, least, most time.Duration) {
+		if v.D() < least || v.D() > most {
+			d.wrong(path, v.D().String(), fmt.Sprintf("%v to %v", least, most))
+		}
+	}
+	address := func(path, v string, empty bool) {
+		if _, _, err := net.SplitHostPort(v); err != nil && !(empty && v == "") {
+			d.wrong(path, quoted(v), "host:port")
+		}
+	}
+	pattern := func(path, v string) *regexp.Regexp {
+		if v == "" {
+			return nil
+		}
+		r, err := regexp.Compile(v)
+		if err != nil {
+			d.wrong(path, err.Error(), "a regular expression (RE2)")
+		}
+		return r
+	}
+	unique("halls", f.Halls)
+	hall := index("hall", f.Hall, f.Halls)
+	within("dispatchers", float64(f.Peers), 1, 10000)
+	within("number", float64(f.Number), 0, float64(max(f.Peers, 1)-1))
+	address("listen.flightsql", f.Listen.FlightSQL, false)
+	address("listen.metrics", f.Listen.Metrics, true)
+	for i, k := range f.Keys {
+		b, err := hex.DecodeString(k)
+		if err != nil || len(b) != 32 {
+			d.wrong(fmt.Sprintf("keys[%d]", i), fmt.Sprintf("%d characters", len(k)), "64 hex digits (32 bytes)")
+		}
+		c.Keys = append(c.Keys, b)
+	}
+	if f.AnyUser == (len(f.Users) > 0) {
+		d.wrong("users", fmt.Sprintf("%d users and any_user %v", len(f.Users), f.AnyUser),
+			"either users or any_user: true")
+	}
+	c.checkNodes(d, address)
+
+	s := &c.Settings
+	l, send := &f.Limits, &f.Sending
+	*s = choice.Settings{Zone: max(hall, 0), Me: f.Number, Peers: f.Peers, OverShareWorth: l.OverShareWorth,
+		MaxAttempts: l.Attempts, MaxHeld: l.Held, MaxComeBack: l.ComeBack.D().Microseconds(), CanCancel: true,
+		CanProbe: send.Probes, SecondCopies: l.SecondCopies, ReportsByAnswer: true, ReportsByProbe: send.Probes,
+		GrantsCount: send.Grants, PriorityCount: send.Priorities, MaxGrantShare: send.GrantShare,
+		Shortage: shortages[send.Shortage], ColdFrom: l.ColdFrom, ColdFor: l.ColdFor.D().Microseconds(),
+		FallMultiple: l.ColdMultiple, FallFor: l.ColdSpan.D().Microseconds(),
+		DrainGrace: l.DrainGrace.D().Microseconds(), TurnGap: l.TurnRest.D().Microseconds(),
+		BudgetFree: l.BudgetFree, BudgetShare: l.BudgetShare, BudgetSpan: l.BudgetSpan.D().Microseconds()}
+	if _, ok := shortages[send.Shortage]; !ok {
+		d.wrong("sending.shortage", quoted(send.Shortage), "queue, trim, swap")
+	}
+	within("limits.attempts", float64(l.Attempts), 1, 16)
+	within("limits.held", float64(l.Held), 1, 1e6)
+	within("limits.over_share_worth", l.OverShareWorth, 0, 1)
+	within("limits.budget_free", l.BudgetFree, 0, 1e6)
+	within("limits.budget_share", l.BudgetShare, 0, 100)
+	within("limits.cold_from", l.ColdFrom, 0.01, 1)
+	within("limits.cold_multiple", l.ColdMultiple, 0.1, 100)
+	within("sending.grant_share", send.GrantShare, 0.01, 1)
+	within("sending.max_frame_bytes", float64(send.MaxFrame), 64<<10, 1<<30)
+	span("limits.come_back", l.ComeBack, 0, time.Hour)
+	span("limits.drain_grace", l.DrainGrace, 50*time.Millisecond, time.Hour)
+	span("limits.turn_rest", l.TurnRest, 0, time.Hour)
+	span("limits.budget_span", l.BudgetSpan, 0, time.Hour)
+	span("limits.cold_for", l.ColdFor, 0, time.Hour)
+	span("limits.cold_span", l.ColdSpan, time.Millisecond, time.Hour)
+	span("sending.connect_timeout", send.Connect, time.Millisecond, time.Minute)
+	span("front.way_back", f.Front.WayBack, 0, 10*time.Second)
+	for path, v := range map[string]Duration{"front.ticket_life": f.Front.TicketLife,
+		"front.prepared_life": f.Front.PreparedLife, "front.bearer_life": f.Front.BearerLife,
+		"front.schema_life": f.Front.SchemaLife} {
+		span(path, v, time.Second, 30*24*time.Hour)
+	}
+	within("front.max_statement_bytes", float64(f.Front.MaxStatement), 1024, 64<<20)
+	within("front.max_parameter_bytes", float64(f.Front.MaxParams), 1024, 64<<20)
+	within("front.schema_most", float64(f.Front.SchemaMost), 1, 1e6)
+	index("log.level", f.Log.Level, []string{"debug", "info", "warn", "error"})
+	index("log.format", f.Log.Format, []string{"json", "console"})
+
+	kinds := make([]string, len(f.Kinds))
+	for i, k := range f.Kinds {
+		kinds[i] = k.Name
+		within(fmt.Sprintf("kinds[%d].cores", i), float64(k.Cores), 1, 10000)
+		within(fmt.Sprintf("kinds[%d].memory_mb", i), k.MemoryMB, 0, 1e9)
+		s.Kinds = append(s.Kinds, choice.Kind{Cores: k.Cores, MemoryMB: k.MemoryMB})
+	}
+	unique("kinds", kinds)
+	if len(kinds) == 0 {
+		d.wrong("kinds", "none", "at least one kind of machine")
+	}
+	for i, t := range f.Tenants {
+		c.Classes.Tenants = append(c.Classes.Tenants, t.Name)
+		within(fmt.Sprintf("tenants[%d].per_second", i), t.PerSecond, 0, 1e9)
+		s.Tenants = append(s.Tenants, choice.Tenant{Name: t.Name, Allowance: t.PerSecond})
+	}
+	unique("tenants", c.Classes.Tenants)
+	var updates []choice.Class // what writes is a class of its own, where its effect differs
+	for i := range f.Classes {
+		at := fmt.Sprintf("classes[%d]", i)
+		k := &f.Classes[i]
+		c.Classes.Classes = append(c.Classes.Classes, k.Name)
+		span(at+".deadline", k.Deadline, time.Millisecond, 24*time.Hour)
+		span(at+".aim", k.Aim, time.Millisecond, 24*time.Hour)
+		span(at+".window", k.Window, 0, 24*time.Hour)
+		within(at+".worth", k.Worth, 0, 1e9)
+		within(at+".late_worth", k.LateWorth, 0, 1)
+		within(at+".aim_stretch", k.AimStretch, 0, 1000)
+		within(at+".threads", float64(k.Threads), 1, 10000)
+		m := choice.Class{Name: k.Name, Worth: k.Worth, LateWorth: k.LateWorth, Aim: k.Aim.D().Microseconds(),
+			AimStretch: k.AimStretch, Deadline: k.Deadline.D().Microseconds(), Threads: k.Threads, Loads: k.Loads,
+			Waits: k.Waits, InTurn: k.InTurn, Window: k.Window.D().Microseconds()}
+		for _, e := range []struct{ field, name string }{{".effect", k.Effect}, {".updates", k.Updates}} {
+			if _, ok := effects[e.name]; !ok {
+				d.wrong(at+e.field, quoted(e.name), "safe, keyed, unsafe")
+			}
+			if e.name == "keyed" && k.Window == 0 {
+				d.wrong(at+".window", "none", "how long nodes remember a key, since the class is keyed")
+			}
+		}
+		g, ok := groups[k.Group]
+		if !ok {
+			d.wrong(at+".group", quoted(k.Group), "all, hall, cell")
+		}
+		m.Effect, m.Group = effects[k.Effect], g
+		for j, h := range k.Halls {
+			m.Zones = append(m.Zones, index(fmt.Sprintf("%s.halls[%d]", at, j), h, f.Halls))
+		}
+		for j, n := range k.Kinds {
+			m.Kinds = append(m.Kinds, index(fmt.Sprintf("%s.kinds[%d]", at, j), n, kinds))
+		}
+		s.Classes = append(s.Classes, m)
+		c.Classes.Updates = append(c.Classes.Updates, i)
+		if k.Updates != k.Effect {
+			c.Classes.Updates[i] = len(f.Classes) + len(updates)
+			m.Name, m.Effect = k.Name+" (updates)", effects[k.Updates]
+			updates = append(updates, m)
+		}
+	}
+	unique("classes", c.Classes.Classes)
+	if len(f.Classes) == 0 {
+		d.wrong("classes", "none", "at least one class")
+		return
+	}
+	for i := range updates {
+		s.Classes = append(s.Classes, updates[i])
+		c.Classes.Updates = append(c.Classes.Updates, len(f.Classes)+i)
+	}
+	c.Classes.Default = max(index("default_class", f.Default, c.Classes.Classes), 0)
+	c.Classes.Hints = !f.NoHints
+	names := make([]string, len(f.Rules))
+	for i := range f.Rules {
+		r, at := &f.Rules[i], fmt.Sprintf("rules[%d]", i)
+		names[i] = r.Name
+		out := classify.Rule{Name: r.Name, User: pattern(at+".user", r.User), Header: strings.ToLower(r.Header),
+			Option: r.Option, Value: pattern(at+".value", r.Value), Statement: pattern(at+".statement", r.Statement),
+			Command: pattern(at+".command", r.Command), Class: -1, Tenant: -1, Cost: r.Cost.D(), MemoryMB: r.MemoryMB,
+			Key: r.Key, Tables: r.Tables}
+		if r.Class != "" {
+			out.Class = index(at+".class", r.Class, c.Classes.Classes)
+		}
+		if r.Tenant != "" {
+			out.Tenant = index(at+".tenant", r.Tenant, c.Classes.Tenants)
+		}
+		if r.Value != "" && (r.Header == "") == (r.Option == "") {
+			d.wrong(at+".value", "a pattern", "one of header and option beside it")
+		}
+		for _, k := range []struct{ field, from string }{{".key", r.Key}, {".tables", r.Tables}} {
+			kind, name, has := strings.Cut(k.from, ":")
+			good := k.from == "" || !has && (kind == "user" || kind == "statement" || kind == "from") ||
+				has && name != "" && (kind == "header" || kind == "option")
+			if !good {
+				d.wrong(at+k.field, quoted(k.from), "user, statement, from, header:NAME, option:NAME")
+			}
+		}
+		span(at+".cost", r.Cost, 0, 24*time.Hour)
+		within(at+".memory_mb", r.MemoryMB, 0, 1e9)
+		c.Classes.Rules = append(c.Classes.Rules, out)
+	}
+	unique("rules", names)
+	if len(d.all) == 0 {
+		if _, err := choice.New(0, *s); err != nil { // the module's own word, should the checks above miss something
+			d.wrong("", err.Error(), "what the module takes")
+		}
+	}
+}
+
+func (c *Config) checkNodes(d *decoder, address func(path, v string, empty bool)) {
+	n := &c.File.Nodes
+	sources := 0
+	for _, has := range []bool{n.File != "", n.EDS != nil, len(n.List) > 0} {
+		if has {
+			sources++
+		}
+	}
+	if sources != 1 {
+		d.wrong("nodes", fmt.Sprintf("%d sources", sources), "exactly one of file, eds, list")
+	}
+	if n.EDS != nil {
+		address("nodes.eds.address", n.EDS.Address, false)
+		if n.EDS.Cluster == "" {
+			d.wrong("nodes.eds.cluster", "none", "the name of the cluster to watch")
+		}
+	}
+	c.checkRows(d, "nodes.list", n.List)
+}
+
+func quoted(s string) string {
+	if s == "" {
+		return "nothing"
+	}
+	return fmt.Sprintf("%.60q", s)
+}
--- /dev/null
+++ b/config/nodes.go
@@ -0,0 +1,88 @@
+package config
+
+import (
+	"fmt"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/fleet"
+)
+
+var states = map[string]choice.EngineState{"": choice.Healthy, "healthy": choice.Healthy, "draining": choice.Draining,
+	"gone": choice.Gone}
+
+// checkRows validates rows of a node list.
+func (c *Config) checkRows(d *decoder, path string, rows []Node) {
+	for i := range rows {
+		at := fmt.Sprintf("%s[%d]", path, i)
+		if _, err := c.row(&rows[i]); err != nil {
+			d.wrong(at, err.Error(), "a node with name, address and, where given, a known hall, kind and state")
+		}
+	}
+}
+
+// row turns a row into what the fleet knows.
+func (c *Config) row(n *Node) (fleet.Node, error) {
+	out := fleet.Node{ID: n.Name, Address: n.Address, Cell: n.Cell, Weight: n.Weight}
+	state, ok := states[n.State]
+	if !ok {
+		return out, fmt.Errorf("state %q of node %q: allowed are healthy, draining, gone", n.State, n.Name)
+	}
+	out.State = state
+	if n.Name == "" || n.Address == "" {
+		return out, fmt.Errorf("node %q at %q: name and address are needed", n.Name, n.Address)
+	}
+	if n.Started != "" {
+		t, err := time.Parse(time.RFC3339Nano, n.Started)
+		if err != nil {
+			return out, fmt.Errorf("started %q of node %q: wanted is RFC 3339", n.Started, n.Name)
+		}
+		out.Started = t
+	}
+	var err error
+	if out.Hall, err = c.Names().Hall(n.Hall); err == nil {
+		out.Kind, err = c.Names().Kind(n.Kind)
+	}
+	return out, err
+}
+
+// Names are the halls and kinds that rows of a node list may name.
+func (c *Config) Names() fleet.Names {
+	names := fleet.Names{Halls: c.File.Halls}
+	for _, k := range c.File.Kinds {
+		names.Kinds = append(names.Kinds, k.Name)
+	}
+	return names
+}
+
+// Nodes are the rows of the configuration's own list.
+func (c *Config) Nodes() []fleet.Node {
+	out := make([]fleet.Node, 0, len(c.File.Nodes.List))
+	for i := range c.File.Nodes.List {
+		n, err := c.row(&c.File.Nodes.List[i])
+		if err == nil { // checked when the file was read
+			out = append(out, n)
+		}
+	}
+	return out
+}
+
+// ParseNodes reads a node list file: {"nodes": [...]}. Its error is *Mistakes.
+func (c *Config) ParseNodes(name string, text []byte) ([]fleet.Node, error) {
+	var list struct {
+		Nodes []Node `json:"nodes"`
+	}
+	d, err := parse(name, text, &list)
+	if err != nil {
+		return nil, err
+	}
+	c.checkRows(d, "nodes", list.Nodes)
+	if len(d.all) > 0 {
+		return nil, &Mistakes{name, d.all}
+	}
+	out := make([]fleet.Node, len(list.Nodes))
+	for i := range list.Nodes {
+		out[i], _ = c.row(&list.Nodes[i])
+	}
+	return out, nil
+}
--- /dev/null
+++ b/dispatch/core.go
@@ -0,0 +1,328 @@
+// Package dispatch is the heart of the dispatcher: it hosts one choice.Gateway. Events come in, the module decides, a
+// ledger sees to it that each query gets exactly one final answer, and actions go out through two small interfaces.
+//
+// Core is pure: no clock, no goroutine, no socket. Loop runs it in real time; a simulation may step it as well.
+package dispatch
+
+import (
+	"fmt"
+	"runtime/debug"
+
+	"embershunt/choice"
+)
+
+// Core is a gateway with its ledger. It is not safe for concurrent use.
+type Core struct {
+	gateway  *choice.Gateway
+	fleet    Fleet
+	observe  Observer
+	books    ledger
+	most     int // queries held at once; 0: no limit
+	wakeAt   Micros
+	woken    bool // wakeAt is set
+	draining bool
+	events   []choice.Event
+	extra    []choice.Event
+}
+
+// Observer sees what happened, for metrics, logs and traces. It is called from the loop and must not block.
+type Observer interface {
+	Taken(q *Query)
+	Answered(q *Query, v Verdict, took Micros)
+	Sent(a Attempt)
+	Ended(q *Query, node string, ev Ended)
+	Fault(Fault)
+	Note(text string)
+	Stepped(events, actions, held int)
+}
+
+// NewCore returns a Core, or the module's word on the setting that cannot be used. The events of a Core depend on
+// seed, settings and what Step is given alone.
+func NewCore(seed uint64, s choice.Settings, f Fleet, o Observer) (*Core, error) {
+	g, err := choice.New(seed, s)
+	if err != nil {
+		return nil, err
+	}
+	return &Core{gateway: g, fleet: f, observe: o, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}}}, nil
+}
+
+// Held is the number of queries that have no final answer yet.
+func (c *Core) Held() int { return len(c.books.due) }
+
+// Booked is the number of queries on the books: those held and those with attempts that have not ended.
+func (c *Core) Booked() int { return len(c.books.entries) }
+
+// Drain makes the core refuse whatever comes from now on.
+func (c *Core) Drain() { c.draining = true }
+
+// Next is the time of the next Step that is needed even if nothing comes in; ok is false where there is none.
+func (c *Core) Next() (at Micros, ok bool) {
+	at, ok = c.wakeAt, c.woken
+	if len(c.books.due) > 0 && (!ok || c.books.due[0].q.Due < at) {
+		at, ok = c.books.due[0].q.Due, true
+	}
+	return at, ok
+}
+
+// PanicError tells that the module, or the books around it, panicked.
+type PanicError struct {
+	Value any
+	Stack []byte
+}
+
+func (e *PanicError) Error() string {
+	return fmt.Sprintf("the decision module panicked: %v; every query held was failed; no decision can be trusted "+
+		"after this, so the dispatcher ends", e.Value)
+}
+
+// Step plays what came in at one moment. After an error, which is always a *PanicError, every query held has been
+// failed and the core must not be used again.
+func (c *Core) Step(now Micros, events []Event) (err error) {
+	defer func() {
+		if p := recover(); p != nil {
+			err = &PanicError{p, debug.Stack()}
+			c.FailAll(now, ReasonInternal)
+		}
+	}()
+	c.events = c.events[:0]
+	for _, ev := range events {
+		c.translate(now, ev)
+	}
+	for e := c.books.overdue(now); e != nil; e = c.books.overdue(now) {
+		c.expire(now, e)
+	}
+	if c.woken && now >= c.wakeAt {
+		c.events = append(c.events, choice.Alarm{})
+		c.woken = false
+	}
+	actions := 0
+	// What the module asks for may end at once (a send that must not leave): its outcome is told in the same moment.
+	for first := true; first || len(c.events) > 0; first = false {
+		out := c.gateway.Step(now, c.events)
+		actions += len(out)
+		c.extra = c.extra[:0]
+		for _, a := range out {
+			c.act(now, a)
+		}
+		c.events = append(c.events[:0], c.extra...)
+	}
+	c.report(len(events), actions)
+	return nil
+}
+
+func (c *Core) report(events, actions int) {
+	for _, f := range c.books.faults {
+		c.observe.Fault(f)
+	}
+	c.books.faults = c.books.faults[:0]
+	c.observe.Stepped(events, actions, c.Held())
+}
+
+// translate turns one event into what the module is told.
+func (c *Core) translate(now Micros, ev Event) {
+	switch ev := ev.(type) {
+	case Taken:
+		c.take(now, ev.Query)
+	case Left:
+		if e := c.books.entries[ev.ID]; e != nil && e.final == 0 {
+			e.mark(now, "client left", -1, -1)
+			c.events = append(c.events, choice.Left{ID: ev.ID})
+			c.answer(now, e, Verdict{Final: Failed, Reason: ReasonGone})
+		}
+	case Begun:
+		c.begun(now, ev)
+	case Ended:
+		c.ended(now, ev)
+	case Told:
+		c.events = append(c.events, ev.Event)
+	default:
+		panic(fmt.Sprintf("dispatch: unknown event %T", ev))
+	}
+}
+
+func (c *Core) take(now Micros, q *Query) {
+	switch {
+	case c.draining:
+		c.turnAway(now, q, ReasonDraining)
+	case c.most > 0 && c.Held() >= c.most:
+		c.turnAway(now, q, ReasonFull)
+	default:
+		if c.books.take(now, q) == nil {
+			q.Client.Answer(Verdict{Final: Failed, Reason: ReasonInternal})
+			return
+		}
+		c.observe.Taken(q)
+		c.events = append(c.events, choice.Request{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Cost: q.Cost,
+			MemoryMB: q.MemoryMB, Tables: q.Tables, Key: q.Key, HasKey: q.HasKey, Retry: q.Retry, Due: q.Due})
+	}
+}
+
+// turnAway refuses a query that was never on the books: nothing was sent for it.
+func (c *Core) turnAway(now Micros, q *Query, why Reason) {
+	v := Verdict{Final: Refused, Reason: why}
+	q.Client.Answer(v)
+	c.observe.Answered(q, v, 0)
+}
+
+// begun lets one answer flow to the client: that of the first attempt to have one, and no other.
+func (c *Core) begun(now Micros, ev Begun) {
+	e := c.books.entries[ev.ID]
+	if e == nil || ev.N < 0 || ev.N >= len(e.attempts) || e.attempts[ev.N].ended {
+		c.books.fault(FaultLateOutcome, ev.ID, e)
+		return
+	}
+	if e.final != 0 || e.opened >= 0 || e.attempts[ev.N].cancelled {
+		c.cancel(now, e, ev.N)
+		return
+	}
+	e.opened = ev.N
+	e.mark(now, "first frame of", ev.N, -1)
+	c.events = append(c.events, choice.First{ID: ev.ID, Attempt: ev.N})
+	c.fleet.Open(ev.ID, ev.N)
+	for n := range e.attempts { // their answers cannot be used any more
+		if n != ev.N {
+			c.cancel(now, e, n)
+		}
+	}
+}
+
+func (c *Core) ended(now Micros, ev Ended) {
+	e := c.books.ended(now, ev)
+	if e == nil {
+		return
+	}
+	node := e.attempts[ev.N].node
+	c.observe.Ended(e.q, node, ev)
+	broken := e.opened == ev.N && ev.Code != choice.OK
+	code := ev.Code
+	if ev.Rejected { // over without blame: the module learns nothing from it
+		code = choice.Cancelled
+	}
+	c.events = append(c.events, choice.Outcome{ID: ev.ID, Attempt: ev.N, Engine: node, Code: code,
+		Over: e.final != 0 || over(ev, broken), Took: ev.Took, Load: ev.Load})
+	if e.final == 0 && over(ev, broken) {
+		v := Verdict{Final: Served, Result: ev.Result, Cause: ev.Err}
+		switch {
+		case ev.Rejected:
+			v.Final, v.Reason = Failed, ReasonStatement
+		case broken:
+			v.Final, v.Reason = Failed, ReasonBroken
+		}
+		c.answer(now, e, v)
+		return
+	}
+	c.books.settle(e)
+}
+
+// expire answers a query at its deadline. An answer that flows is cut off; any other query must have had the module's
+// word before this moment.
+func (c *Core) expire(now Micros, e *entry) {
+	if e.opened < 0 {
+		c.books.fault(FaultForgotten, e.q.ID, e)
+	}
+	c.events = append(c.events, choice.Left{ID: e.q.ID})
+	c.answer(now, e, Verdict{Final: Failed, Reason: ReasonDeadline})
+}
+
+// answer gives the final answer and calls off what is still out.
+func (c *Core) answer(now Micros, e *entry, v Verdict) {
+	if v.Attempts = len(e.attempts); v.Attempts > 0 {
+		v.Node = e.attempts[v.Attempts-1].node
+	}
+	if v.Cause == nil && v.Final != Served {
+		v.Cause = e.last.Err
+	}
+	if !c.books.answer(now, e, v) {
+		return
+	}
+	c.observe.Answered(e.q, v, now-e.taken)
+	for n := range e.attempts {
+		c.cancel(now, e, n)
+	}
+}
+
+func (c *Core) cancel(now Micros, e *entry, n int) {
+	if a := &e.attempts[n]; !a.ended && !a.cancelled {
+		a.cancelled = true
+		e.mark(now, "cancelled", n, -1)
+		c.fleet.Cancel(e.q.ID, n)
+	}
+}
+
+// act carries one action of the module out.
+func (c *Core) act(now Micros, a choice.Action) {
+	switch a := a.(type) {
+	case choice.Send:
+		c.send(now, a)
+	case choice.Terms:
+		if e := c.entry(a.ID); e != nil {
+			e.terms = Attempt{MemoryMB: a.MemoryMB, Priority: a.Priority, HasTerms: true}
+			if e.out > 0 {
+				c.fleet.Terms(a.ID, a.MemoryMB, a.Priority)
+			}
+		}
+	case choice.Cancel:
+		if e := c.books.entries[a.ID]; e != nil && a.Attempt >= 0 && a.Attempt < len(e.attempts) {
+			c.cancel(now, e, a.Attempt)
+		}
+	case choice.Refuse:
+		if e := c.entry(a.ID); e != nil {
+			c.answer(now, e, Verdict{Final: Refused, Reason: ReasonOverload, ComeBack: a.ComeBack})
+		}
+	case choice.Fail:
+		if e := c.entry(a.ID); e != nil {
+			c.answer(now, e, Verdict{Final: Failed, Reason: ReasonAttempt})
+		}
+	case choice.Probe:
+		c.fleet.Probe(a.Engine)
+	case choice.Wake:
+		c.wakeAt, c.woken = now+a.After, true
+	case choice.Tell:
+		c.fleet.Tell(a.To, a.Data)
+	case choice.Watch:
+		c.fleet.Watch()
+	case choice.Fetch:
+		c.fleet.Fetch()
+	case choice.Note:
+		c.observe.Note(a.Text)
+	default:
+		panic(fmt.Sprintf("dispatch: unknown action %T", a))
+	}
+}
+
+// entry is the query that an action names.
+func (c *Core) entry(id string) *entry {
+	e := c.books.entries[id]
+	if e == nil {
+		c.books.fault(FaultUnknown, id, nil)
+	}
+	return e
+}
+
+func (c *Core) send(now Micros, s choice.Send) {
+	e := c.entry(s.ID)
+	if e == nil {
+		return
+	}
+	n, ok := c.books.send(now, e, s.Engine)
+	if !ok { // the module numbers it all the same, and is told that it never left
+		c.extra = append(c.extra, choice.Outcome{ID: s.ID, Attempt: n, Engine: s.Engine,
+			Code: choice.Moot, Over: e.final != 0})
+		return
+	}
+	a := Attempt{Query: e.q, N: n, Node: s.Engine, Until: e.q.Due, MemoryMB: e.terms.MemoryMB,
+		Priority: e.terms.Priority, HasTerms: e.terms.HasTerms}
+	if s.Timeout > 0 {
+		a.Until = min(a.Until, now+s.Timeout)
+	}
+	c.observe.Sent(a)
+	c.fleet.Send(a)
+}
+
+// FailAll gives every query held the same failed answer, in the order of their deadlines.
+func (c *Core) FailAll(now Micros, why Reason) {
+	for len(c.books.due) > 0 {
+		c.answer(now, c.books.due[0], Verdict{Final: Failed, Reason: why})
+	}
+	c.report(0, 0)
+}
--- /dev/null
+++ b/dispatch/query.go
@@ -0,0 +1,141 @@
+package dispatch
+
+import (
+	"fmt"
+
+	"embershunt/choice"
+)
+
+// Micros is a point in time or a span, in microseconds of the clock handed in.
+type Micros = choice.Micros
+
+// Query is one client's query as a front hands it over.
+type Query struct {
+	ID       string // never used twice by this dispatcher
+	Class    int    // index in choice.Settings.Classes
+	Tenant   int    // index in choice.Settings.Tenants
+	Cost     Micros // estimated work of all threads; 0: unknown
+	MemoryMB float64
+	Tables   int64 // group of tables it reads or writes
+	Key      int64 // order, where HasKey
+	HasKey   bool
+	Retry    bool   // a client's marked repeat
+	Due      Micros // the final answer is owed by then
+	Work     any    // what a node is to do; known to the front and the fleet alone
+	Client   Client
+}
+
+// Client receives the final answer of one query, once. Answer must not block and may be called from the loop.
+type Client interface{ Answer(Verdict) }
+
+// Final is the kind of a final answer.
+type Final uint8
+
+// The final answers. Refused tells that trying again does no harm; Failed promises nothing.
+const (
+	Served Final = iota + 1
+	Refused
+	Failed
+)
+
+func (f Final) String() string {
+	switch f {
+	case Served:
+		return "served"
+	case Refused:
+		return "refused"
+	case Failed:
+		return "failed"
+	}
+	return fmt.Sprintf("Final(%d)", uint8(f))
+}
+
+// Reason says in one word why a query was refused or failed; docs/operators.md lists them.
+type Reason string
+
+// The reasons.
+const (
+	ReasonNone      Reason = ""
+	ReasonOverload  Reason = "OVERLOADED"         // the module gave it up: no room in time, or not worth its work
+	ReasonFull      Reason = "DISPATCHER_FULL"    // as many queries are held as settings allow
+	ReasonDraining  Reason = "DISPATCHER_STOPS"   // the dispatcher takes nothing new
+	ReasonAttempt   Reason = "ATTEMPT_FAILED"     // an attempt may have run and no other is allowed
+	ReasonBroken    Reason = "ANSWER_BROKEN"      // the answer had begun and its node went silent or broke off
+	ReasonDeadline  Reason = "DEADLINE"           // the deadline came first
+	ReasonStatement Reason = "STATEMENT"          // the node says that the statement is wrong
+	ReasonInternal  Reason = "DISPATCHER_FAULT"   // the dispatcher itself failed
+	ReasonGone      Reason = "CLIENT_GONE"        // nobody is there to read an answer
+	ReasonStopped   Reason = "DISPATCHER_STOPPED" // stopped before the answer was in
+)
+
+// Verdict is a final answer.
+type Verdict struct {
+	Final    Final
+	Reason   Reason
+	ComeBack Micros // Refused: not before this much time has gone; 0: no advice
+	Result   any    // Served: what the fleet returned, where it was not streamed
+	Cause    error  // the last attempt's error, where there was one
+	Attempts int
+	Node     string // of the last attempt
+}
+
+// Attempt is one send of a query to a node.
+type Attempt struct {
+	Query    *Query
+	N        int // from 0
+	Node     string
+	Until    Micros // the attempt's time-out; never after Query.Due
+	MemoryMB float64
+	Priority int  // 0 to 3
+	HasTerms bool // MemoryMB and Priority were set by the module
+}
+
+// Fleet carries the module's actions out. No method blocks. Every Send ends in exactly one Ended event, also after
+// Cancel and also where nothing was sent.
+type Fleet interface {
+	Send(Attempt)
+	// Open lets the answer of an attempt that has Begun flow to its client.
+	Open(id string, n int)
+	Cancel(id string, n int)
+	// Terms changes what runs: for every attempt of the query that is out.
+	Terms(id string, memoryMB float64, priority int)
+	Probe(node string)
+	Watch()
+	Fetch()
+	Tell(peer int, data []byte)
+}
+
+// Event is what comes in: Taken from a front, the rest from the fleet or the clock.
+type Event interface{ isEvent() }
+
+// The events.
+type (
+	// Taken hands over a query; from now on one final answer is owed.
+	Taken struct{ Query *Query }
+	// Left tells that the client is gone: it cancelled, or its connection broke.
+	Left struct{ ID string }
+	// Begun tells that an attempt has its first frame ready and waits for Open or Cancel.
+	Begun struct {
+		ID string
+		N  int
+	}
+	// Ended is the end of an attempt.
+	Ended struct {
+		ID       string
+		N        int
+		Code     choice.Code
+		Rejected bool // the node's word that the statement is wrong: an answer, no fault of the node
+		Took     Micros
+		Load     *choice.Load
+		Result   any
+		Err      error
+	}
+	// Told passes on what needs no ledger: choice.Engines, Probed, Progress and Heard.
+	Told struct{ Event choice.Event }
+)
+
+func (Taken) isEvent() {}
+func (Left) isEvent()  {}
+func (Begun) isEvent() {}
+func (Ended) isEvent() {}
+func (Told) isEvent()  {}
--- /dev/null
+++ b/dispatcher/dispatcher.go
@@ -0,0 +1,196 @@
+// Package dispatcher puts one dispatcher together: loop, fleet, front, health, metrics. It wires and it stops things in
+// order; it decides nothing.
+package dispatcher
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+	"go.opentelemetry.io/otel/trace"
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/keepalive"
+
+	"embershunt/config"
+	"embershunt/dispatch"
+	"embershunt/fleet"
+	"embershunt/front/flightsql"
+	"embershunt/internal/seal"
+)
+
+// Dispatcher is one dispatcher. Run it once.
+type Dispatcher struct {
+	cfg      *config.Config
+	log      *slog.Logger
+	clock    dispatch.Clock
+	loop     *dispatch.Loop
+	fleet    *fleet.Fleet
+	front    *flightsql.Front
+	server   *grpc.Server
+	health   *health.Server
+	registry *prometheus.Registry
+	listener net.Listener
+	metrics  net.Listener
+}
+
+// Options are what a configuration does not say.
+type Options struct {
+	Log    *slog.Logger
+	Seed   uint64 // 0: drawn
+	Tracer trace.Tracer
+}
+
+// New listens; nothing is served before Run.
+func New(cfg *config.Config, o Options) (*Dispatcher, error) {
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	if o.Seed == 0 {
+		o.Seed = rand.Uint64()
+	}
+	f := &cfg.File
+	d := &Dispatcher{cfg: cfg, log: o.Log.With("dispatcher", f.Name), clock: dispatch.NewClock(),
+		registry: prometheus.NewRegistry(), health: health.NewServer()}
+	sealer, err := seal.New(cfg.Keys...)
+	if err != nil {
+		return nil, fmt.Errorf("keys: %w", err)
+	}
+	d.fleet = fleet.New(fleet.Options{Log: d.log, Clock: d.clock, ConnectTimeout: f.Sending.Connect.D(),
+		MaxFrame: f.Sending.MaxFrame})
+	observer := newObserver(d.log, d.registry, o.Tracer, cfg)
+	core, err := dispatch.NewCore(o.Seed, cfg.Settings, d.fleet, observer)
+	if err != nil {
+		return nil, err
+	}
+	d.loop = dispatch.NewLoop(core, d.clock)
+	d.fleet.Bind(d.loop)
+	var auth flightsql.Authenticator = flightsql.AnyUser{}
+	if !f.AnyUser {
+		hashes := map[string]string{}
+		for _, u := range f.Users {
+			hashes[u.Name] = u.Bcrypt
+		}
+		auth = flightsql.NewUsers(hashes)
+	}
+	deadlines := make([]time.Duration, len(cfg.Settings.Classes))
+	for i, c := range cfg.Settings.Classes {
+		deadlines[i] = time.Duration(c.Deadline) * time.Microsecond
+	}
+	r := &f.Front
+	d.front = flightsql.New(flightsql.Options{Log: d.log, Clock: d.clock, Classes: &cfg.Classes, Deadlines: deadlines,
+		Auth: auth, Seal: sealer, WayBack: r.WayBack.D(), TicketLife: r.TicketLife.D(),
+		PreparedLife: r.PreparedLife.D(), BearerLife: r.BearerLife.D(), SchemaLife: r.SchemaLife.D(),
+		SchemaMost: r.SchemaMost, MaxStatement: r.MaxStatement, MaxParams: r.MaxParams,
+		PassHeaders: f.Sending.PassHeaders}, d.loop)
+	observer.watch(d.front, d.fleet)
+	d.server = grpc.NewServer(append(d.front.ServerOptions(),
+		// Clients that vanished are noticed within this time, so that nothing runs on for them.
+		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
+		grpc.KeepaliveEnforcementPolicy(keepalive.EnforcementPolicy{MinTime: 5 * time.Second,
+			PermitWithoutStream: true}))...)
+	d.front.Register(d.server)
+	healthpb.RegisterHealthServer(d.server, d.health)
+	if d.listener, err = net.Listen("tcp", f.Listen.FlightSQL); err != nil {
+		return nil, err
+	}
+	if f.Listen.Metrics != "" {
+		if d.metrics, err = net.Listen("tcp", f.Listen.Metrics); err != nil {
+			d.listener.Close()
+			return nil, err
+		}
+	}
+	return d, nil
+}
+
+// Address is where Flight SQL is served.
+func (d *Dispatcher) Address() string { return d.listener.Addr().String() }
+
+// Fleet is the dispatcher's view of the query nodes.
+func (d *Dispatcher) Fleet() *fleet.Fleet { return d.fleet }
+
+// Registry has the dispatcher's metrics.
+func (d *Dispatcher) Registry() *prometheus.Registry { return d.registry }
+
+// Drain takes no new queries from now on: health says so, what is held gets its answers, then Run returns nil.
+func (d *Dispatcher) Drain() {
+	d.log.Info("draining: no new queries, those held get their answers")
+	d.health.Shutdown()
+	d.loop.Drain()
+}
+
+// Run serves until the dispatcher has drained (nil), the context ends, or something fails.
+func (d *Dispatcher) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	stop := make(chan struct{}) // closed when the loop has ended
+	if err := d.watchNodes(); err != nil {
+		d.listener.Close()
+		return err
+	}
+	group.Go(func() error {
+		defer close(stop)
+		return d.loop.Run(ctx)
+	})
+	group.Go(func() error {
+		err := d.server.Serve(d.listener)
+		if errors.Is(err, grpc.ErrServerStopped) {
+			err = nil
+		}
+		return err
+	})
+	group.Go(func() error {
+		<-stop
+		d.health.Shutdown()
+		d.finish(ctx)
+		return d.fleet.Close()
+	})
+	if d.metrics != nil {
+		server := &http.Server{Handler: promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
+			ReadHeaderTimeout: 5 * time.Second}
+		group.Go(func() error {
+			if err := server.Serve(d.metrics); !errors.Is(err, http.ErrServerClosed) {
+				return err
+			}
+			return nil
+		})
+		group.Go(func() error {
+			<-stop
+			return server.Close()
+		})
+	}
+	return group.Wait()
+}
+
+// finish lets the last answers reach their clients, for a moment: every query has its verdict by now.
+func (d *Dispatcher) finish(ctx context.Context) {
+	gone := make(chan struct{})
+	var group errgroup.Group
+	group.Go(func() error {
+		defer close(gone)
+		d.server.GracefulStop()
+		return nil
+	})
+	t := time.NewTimer(2 * time.Second)
+	defer t.Stop()
+	select {
+	case <-gone:
+	case <-t.C:
+		d.server.Stop()
+	case <-ctx.Done():
+		select { // what was failed at the end of the context still gets its word
+		case <-gone:
+		case <-time.After(100 * time.Millisecond):
+			d.server.Stop()
+		}
+	}
+	group.Wait()
+}
--- /dev/null
+++ b/dispatcher/dispatcher_test.go
@@ -0,0 +1,150 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/status"
+
+	"embershunt/choice"
+	"embershunt/config"
+	"embershunt/dispatcher"
+	"embershunt/fleet"
+	"embershunt/standin"
+)
+
+// rig is a dispatcher with stand-in nodes on loopback.
+type rig struct {
+	t      *testing.T
+	d      *dispatcher.Dispatcher
+	nodes  []*standin.Node
+	client *flightsql.Client
+	ended  chan error
+	cancel context.CancelFunc
+}
+
+const rigConfig = `{
+  "name": "rig", "any_user": true, "listen": {"flightsql": "127.0.0.1:0"},
+  "kinds": [{"name": "standin", "cores": 8, "memory_mb": 16384}],
+  "classes": [
+    {"name": "lookup", "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s"},
+    {"name": "report", "worth": 10, "aim": "2s", "deadline": "15s", "threads": 4, "late_worth": 0.4}
+  ],
+  "sending": {"grants": true, "priorities": true, "probes": true},
+  "nodes": {"list": [%s]} %s
+}`
+
+// newRig starts everything; more is put into the configuration.
+func newRig(t *testing.T, nodes int, more string) *rig {
+	t.Helper()
+	r := &rig{t: t, ended: make(chan error, 1)}
+	var rows []string
+	for i := range nodes {
+		n := standin.NewNode(fmt.Sprintf("node-%d", i), standin.Model{}, uint64(i))
+		if err := n.Start("127.0.0.1:0", false); err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(n.Die)
+		r.nodes = append(r.nodes, n)
+		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q}`, n.Name, n.Address))
+	}
+	cfg, err := config.Parse("rig", fmt.Appendf(nil, rigConfig, strings.Join(rows, ","), more))
+	if err != nil {
+		t.Fatal(err)
+	}
+	if r.d, err = dispatcher.New(cfg, dispatcher.Options{Seed: 7}); err != nil {
+		t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(t.Context())
+	r.cancel = cancel
+	go func() { r.ended <- r.d.Run(ctx) }()
+	r.client = r.connect()
+	t.Cleanup(func() {
+		r.client.Close()
+		cancel()
+		<-r.ended
+	})
+	return r
+}
+
+func (r *rig) connect() *flightsql.Client {
+	c, err := flightsql.NewClient(r.d.Address(), nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	return c
+}
+
+// list sets the node list as the nodes are now; change may alter a row.
+func (r *rig) list(change func(i int, n *fleet.Node)) {
+	rows := make([]fleet.Node, len(r.nodes))
+	for i, n := range r.nodes {
+		rows[i] = fleet.Node{ID: n.Name, Address: n.Address}
+		if change != nil {
+			change(i, &rows[i])
+		}
+	}
+	if err := r.d.Fleet().SetNodes(rows); err != nil {
+		r.t.Fatal(err)
+	}
+}
+
+// query runs one statement and counts its rows.
+func (r *rig) query(ctx context.Context, statement string) (rows int64, err error) {
+	info, err := r.client.Execute(ctx, statement)
+	if err != nil {
+		return 0, err
+	}
+	reader, err := r.client.DoGet(ctx, info.Endpoint[0].Ticket)
+	if err != nil {
+		return 0, err
+	}
+	defer reader.Release()
+	for reader.Next() {
+		rows += reader.RecordBatch().NumRows()
+	}
+	return rows, reader.Err()
+}
+
+// final tells how an answer is marked: final and reason of its ErrorInfo.
+func final(err error) string {
+	if err == nil {
+		return "served"
+	}
+	var s interface{ GRPCStatus() *status.Status }
+	if !errors.As(err, &s) {
+		return err.Error()
+	}
+	for _, d := range s.GRPCStatus().Details() {
+		if i, ok := d.(*errdetails.ErrorInfo); ok {
+			return i.GetMetadata()["final"] + " " + i.GetReason()
+		}
+	}
+	return s.GRPCStatus().Code().String()
+}
+
+func TestSelectGoesThroughToANodeAndBack(t *testing.T) {
+	r := newRig(t, 2, "")
+	rows, err := r.query(t.Context(), "SELECT * FROM policy /* rows=3000 work_ms=2 */")
+	if err != nil || rows != 3000 {
+		t.Fatalf("%d rows, %v", rows, err)
+	}
+	n, err := r.client.ExecuteUpdate(t.Context(), "INSERT INTO policy VALUES (1) /* rows=5 */")
+	if err != nil || n != 5 {
+		t.Fatalf("update: %d, %v", n, err)
+	}
+	if seen := len(r.nodes[0].Seen()) + len(r.nodes[1].Seen()); seen != 2 {
+		t.Fatalf("nodes saw %d attempts, want 2", seen)
+	}
+	_ = choice.OK
+	_ = time.Second
+}
--- /dev/null
+++ b/dispatcher/observe.go
@@ -0,0 +1,175 @@
+package dispatcher
+
+import (
+	"context"
+	"log/slog"
+	"strconv"
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"go.opentelemetry.io/otel/attribute"
+	"go.opentelemetry.io/otel/trace"
+
+	"embershunt/choice"
+	"embershunt/config"
+	"embershunt/dispatch"
+	"embershunt/fleet"
+	"embershunt/front/flightsql"
+)
+
+// observer turns what the loop does into metrics, log lines and spans. All but the collectors' own locks is used by
+// the loop alone.
+type observer struct {
+	log      *slog.Logger
+	registry *prometheus.Registry
+	tracer   trace.Tracer // nil: no spans
+	classes  []string
+	spans    map[string]*querySpans
+
+	queries  *prometheus.CounterVec
+	latency  *prometheus.HistogramVec
+	attempts *prometheus.CounterVec
+	sent     *prometheus.CounterVec
+	faults   *prometheus.CounterVec
+	steps    prometheus.Counter
+	events   prometheus.Counter
+	actions  prometheus.Counter
+	held     prometheus.Gauge
+}
+
+// querySpans are the open spans of one query.
+type querySpans struct {
+	ctx      context.Context
+	query    trace.Span
+	decision trace.Span
+}
+
+var codeNames = map[choice.Code]string{choice.OK: "ok", choice.Failed: "failed", choice.Full: "full",
+	choice.TimedOut: "timed_out", choice.Refused: "refused", choice.Reset: "reset", choice.Cancelled: "cancelled",
+	choice.Moot: "moot"}
+
+func newObserver(log *slog.Logger, r *prometheus.Registry, t trace.Tracer, cfg *config.Config) *observer {
+	o := &observer{log: log, registry: r, tracer: t, spans: map[string]*querySpans{}}
+	for _, c := range cfg.Settings.Classes {
+		o.classes = append(o.classes, c.Name)
+	}
+	counter := func(name, help string, labels ...string) *prometheus.CounterVec {
+		c := prometheus.NewCounterVec(prometheus.CounterOpts{Namespace: "embershunt", Name: name, Help: help}, labels)
+		r.MustRegister(c)
+		return c
+	}
+	o.queries = counter("queries_total", "Final answers.", "class", "final", "reason")
+	o.attempts = counter("attempts_ended_total", "Ends of attempts.", "node", "code")
+	o.sent = counter("attempts_sent_total", "Attempts sent; further ones are those beyond a query's first.", "further")
+	o.faults = counter("faults_total", "Things that must not happen.", "kind")
+	for _, k := range dispatch.FaultKinds {
+		o.faults.WithLabelValues(string(k))
+	}
+	o.latency = prometheus.NewHistogramVec(prometheus.HistogramOpts{Namespace: "embershunt", Name: "answer_seconds",
+		Help:    "Time from taking a query to its final answer.",
+		Buckets: prometheus.ExponentialBuckets(0.0005, 2, 17)}, []string{"class", "final"})
+	o.steps = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "embershunt", Name: "steps_total",
+		Help: "Steps of the decision module."})
+	o.events = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "embershunt", Name: "events_total",
+		Help: "Events told to the decision module."})
+	o.actions = prometheus.NewCounter(prometheus.CounterOpts{Namespace: "embershunt", Name: "actions_total",
+		Help: "Actions of the decision module."})
+	o.held = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_queries",
+		Help: "Queries without a final answer."})
+	limit := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_queries_limit",
+		Help: "Most queries that may be held."})
+	limit.Set(float64(cfg.Settings.MaxHeld))
+	r.MustRegister(o.latency, o.steps, o.events, o.actions, o.held, limit)
+	return o
+}
+
+// watch adds the figures that others keep.
+func (o *observer) watch(front *flightsql.Front, f *fleet.Fleet) {
+	o.registry.MustRegister(
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "queries_unruled_total",
+			Help: "Queries that no rule and no hint gave a class."}, func() float64 { return float64(front.Unruled()) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "node_list_failures_total",
+			Help: "Node lists that failed or could not be used."}, func() float64 { return float64(f.ListFailures()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "drain_last_send_seconds",
+			Help: "Longest time from a drain notice to a send to that node after it; 0: none was sent."},
+			func() float64 { return f.LastSendAfterDrain().Seconds() }))
+}
+
+func (o *observer) class(i int) string {
+	if i >= 0 && i < len(o.classes) {
+		return o.classes[i]
+	}
+	return strconv.Itoa(i)
+}
+
+// Taken implements dispatch.Observer.
+func (o *observer) Taken(q *dispatch.Query) {
+	if o.tracer == nil {
+		return
+	}
+	s := &querySpans{}
+	s.ctx, s.query = o.tracer.Start(context.Background(), "query", trace.WithAttributes(
+		attribute.String("query", q.ID), attribute.String("class", o.class(q.Class))))
+	_, s.decision = o.tracer.Start(s.ctx, "decision")
+	o.spans[q.ID] = s
+}
+
+// Sent implements dispatch.Observer.
+func (o *observer) Sent(a dispatch.Attempt) {
+	o.sent.WithLabelValues(strconv.FormatBool(a.N > 0)).Inc()
+	if s := o.spans[a.Query.ID]; s != nil && s.decision != nil {
+		s.decision.SetAttributes(attribute.String("node", a.Node), attribute.Int("priority", a.Priority))
+		s.decision.End()
+		s.decision = nil
+	}
+}
+
+// Ended implements dispatch.Observer.
+func (o *observer) Ended(q *dispatch.Query, node string, ev dispatch.Ended) {
+	o.attempts.WithLabelValues(node, codeNames[ev.Code]).Inc()
+	if o.log.Enabled(context.Background(), slog.LevelDebug) && ev.Err != nil {
+		o.log.Debug("attempt ended", "query", ev.ID, "attempt", ev.N, "node", node, "code", codeNames[ev.Code],
+			"error", ev.Err)
+	}
+	if s := o.spans[ev.ID]; s != nil {
+		_, span := o.tracer.Start(s.ctx, "attempt", trace.WithTimestamp(time.Now().Add(
+			-time.Duration(ev.Took)*time.Microsecond)), trace.WithAttributes(attribute.String("node", node),
+			attribute.Int("attempt", ev.N), attribute.String("code", codeNames[ev.Code])))
+		span.End()
+	}
+}
+
+// Answered implements dispatch.Observer.
+func (o *observer) Answered(q *dispatch.Query, v dispatch.Verdict, took dispatch.Micros) {
+	class := o.class(q.Class)
+	o.queries.WithLabelValues(class, v.Final.String(), string(v.Reason)).Inc()
+	o.latency.WithLabelValues(class, v.Final.String()).Observe(float64(took) / 1e6)
+	if s := o.spans[q.ID]; s != nil {
+		if s.decision != nil {
+			s.decision.End()
+		}
+		s.query.SetAttributes(attribute.String("final", v.Final.String()), attribute.String("reason", string(v.Reason)),
+			attribute.Int("attempts", v.Attempts))
+		s.query.End()
+		delete(o.spans, q.ID)
+	}
+}
+
+// Fault implements dispatch.Observer.
+func (o *observer) Fault(f dispatch.Fault) {
+	o.faults.WithLabelValues(string(f.Kind)).Inc()
+	o.log.Error("fault", "kind", f.Kind, "query", f.ID, "history", f.History)
+}
+
+// Note implements dispatch.Observer.
+func (o *observer) Note(text string) { o.log.Info(text, "from", "module") }
+
+// Stepped implements dispatch.Observer.
+func (o *observer) Stepped(events, actions, held int) {
+	o.steps.Inc()
+	o.events.Add(float64(events))
+	o.actions.Add(float64(actions))
+	o.held.Set(float64(held))
+}
+
+var _ dispatch.Observer = (*observer)(nil)
--- /dev/null
+++ b/fleet/fleet.go
@@ -0,0 +1,144 @@
+// Package fleet is the query nodes as one dispatcher sees them: the node list, kept connections, attempts and how they
+// end, load reports, probes. It decides nothing: what it is told to do comes from the module, what it sees goes there.
+package fleet
+
+import (
+	"context"
+	"log/slog"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+	"google.golang.org/grpc"
+
+	"embershunt/choice"
+	"embershunt/dispatch"
+)
+
+// Options are the fleet's settings; zero values mean the defaults.
+type Options struct {
+	Log            *slog.Logger
+	Clock          dispatch.Clock
+	ConnectTimeout time.Duration     // a connection that is not up by then is refused; default 250 ms
+	ProbeTimeout   time.Duration     // default 500 ms
+	MaxFrame       int               // most bytes of one message from a node; default 16 MiB
+	Dial           []grpc.DialOption // credentials; default: plain text
+	Headers        []string          // key and value in turn, sent with every call
+}
+
+// Poster takes what the fleet has seen; *dispatch.Loop is one.
+type Poster interface{ Post(dispatch.Event) }
+
+type poster struct{ Poster }
+
+func (p poster) Told(ev choice.Event) { p.Post(dispatch.Told{Event: ev}) }
+
+// Fleet implements dispatch.Fleet over gRPC.
+type Fleet struct {
+	log     *slog.Logger
+	clock   dispatch.Clock
+	opt     Options
+	post    poster
+	group   *errgroup.Group // every goroutine of the fleet
+	ctx     context.Context
+	stop    context.CancelFunc
+	refetch func() // asks the list's source again; nil: there is nothing to ask
+
+	mu       sync.Mutex
+	nodes    map[string]*node
+	attempts map[string][]*attempt // those out, by query
+
+	listFailures atomic.Int64
+	drains       drains
+}
+
+var _ dispatch.Fleet = (*Fleet)(nil)
+
+// New returns a fleet without nodes. Bind must be called before the loop runs.
+func New(o Options) *Fleet {
+	if o.ConnectTimeout == 0 {
+		o.ConnectTimeout = 250 * time.Millisecond
+	}
+	if o.ProbeTimeout == 0 {
+		o.ProbeTimeout = 500 * time.Millisecond
+	}
+	if o.MaxFrame == 0 {
+		o.MaxFrame = 16 << 20
+	}
+	if o.Log == nil {
+		o.Log = slog.New(slog.DiscardHandler)
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	return &Fleet{log: o.Log, clock: o.Clock, opt: o, group: new(errgroup.Group), ctx: ctx, stop: stop,
+		nodes: map[string]*node{}, attempts: map[string][]*attempt{}}
+}
+
+// Bind names who is told of what happens.
+func (f *Fleet) Bind(p Poster) { f.post = poster{p} }
+
+// Go runs a goroutine that belongs to the fleet, such as a watch on the node list. It must end with ctx.
+func (f *Fleet) Go(run func(ctx context.Context)) {
+	f.group.Go(func() error { run(f.ctx); return nil })
+}
+
+// OnFetch sets what Fetch and Watch call: it asks the list's source again and must not block.
+func (f *Fleet) OnFetch(ask func()) { f.refetch = ask }
+
+// Watch implements dispatch.Fleet. The watch is kept by the list's source; asking again renews it.
+func (f *Fleet) Watch() { f.Fetch() }
+
+// Fetch implements dispatch.Fleet.
+func (f *Fleet) Fetch() {
+	if f.refetch != nil {
+		f.refetch()
+	}
+}
+
+// Tell implements dispatch.Fleet. Messages between dispatchers have no authenticated way yet: they stay off, and the
+// module is told so (CanTell).
+func (f *Fleet) Tell(int, []byte) {}
+
+// LastSendAfterDrain is the longest time from a drain notice to a send to that node after it; 0 where none was sent.
+// The module alone keeps nodes that drain free of new work: this only measures it.
+func (f *Fleet) LastSendAfterDrain() time.Duration { return f.drains.longest() }
+
+// ListFailures counts the node lists that failed or could not be used.
+func (f *Fleet) ListFailures() int64 { return f.listFailures.Load() }
+
+// Close calls everything off, waits for it to end and closes the connections.
+func (f *Fleet) Close() error {
+	f.stop()
+	err := f.group.Wait()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	for id, n := range f.nodes {
+		n.close()
+		delete(f.nodes, id)
+	}
+	return err
+}
+
+// use takes a node for one call; nil where it is not known. Every use is ended by release.
+func (f *Fleet) use(id string) *node {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	n := f.nodes[id]
+	if n != nil {
+		n.users++
+	}
+	return n
+}
+
+func (f *Fleet) release(n *node) {
+	f.mu.Lock()
+	n.users--
+	idle := n.gone && n.users == 0
+	if idle && f.nodes[n.id] == n {
+		delete(f.nodes, n.id)
+	}
+	f.mu.Unlock()
+	if idle {
+		n.close()
+	}
+}
--- /dev/null
+++ b/fleet/load.go
@@ -0,0 +1,78 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	orcav3 "github.com/cncf/xds/go/xds/data/orca/v3"
+	"google.golang.org/grpc"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/protobuf/proto"
+
+	"embershunt/choice"
+)
+
+// loadTrailer is where ORCA puts a load report (gRFC A51: per-call reports).
+const loadTrailer = "endpoint-load-metrics-bin"
+
+// loadFrom reads an ORCA report. Util is cpu_utilization; Memory and Disk are the utilizations "memory" (or
+// mem_utilization) and "disk"; InFlight and Queue are the named metrics "inflight" and "queue". What is absent was not
+// reported. A report that does not parse counts as none.
+func loadFrom(trailer metadata.MD) *choice.Load {
+	v := trailer.Get(loadTrailer)
+	if len(v) == 0 {
+		return nil
+	}
+	var r orcav3.OrcaLoadReport
+	if proto.Unmarshal([]byte(v[len(v)-1]), &r) != nil {
+		return nil
+	}
+	get := func(m map[string]float64, name string) float64 {
+		if x, ok := m[name]; ok && x >= 0 {
+			return x
+		}
+		return -1
+	}
+	l := &choice.Load{Util: r.CpuUtilization, InFlight: get(r.NamedMetrics, "inflight"),
+		Queue: get(r.NamedMetrics, "queue"), Memory: get(r.Utilization, "memory"), Disk: get(r.Utilization, "disk")}
+	if l.Memory < 0 && r.MemUtilization > 0 {
+		l.Memory = r.MemUtilization
+	}
+	return l
+}
+
+// Probe implements dispatch.Fleet: a health check (grpc.health.v1), whose trailers carry the load report.
+func (f *Fleet) Probe(id string) {
+	f.group.Go(func() error {
+		begun := time.Now()
+		ev := choice.Probed{Engine: id}
+		ev.Code, ev.Load = f.probe(id)
+		ev.Took = time.Since(begun).Microseconds()
+		f.post.Told(ev)
+		return nil
+	})
+}
+
+func (f *Fleet) probe(id string) (choice.Code, *choice.Load) {
+	n := f.use(id)
+	if n == nil {
+		return choice.Refused, nil
+	}
+	defer f.release(n)
+	ctx, cancel := context.WithTimeout(f.ctx, f.opt.ProbeTimeout)
+	defer cancel()
+	conn, err := n.ready(ctx, &f.opt)
+	if err != nil {
+		return choice.Refused, nil
+	}
+	var trailer metadata.MD
+	answer, err := healthpb.NewHealthClient(conn).Check(ctx, &healthpb.HealthCheckRequest{}, grpc.Trailer(&trailer))
+	switch {
+	case ctx.Err() != nil:
+		return choice.TimedOut, nil
+	case err != nil || answer.GetStatus() != healthpb.HealthCheckResponse_SERVING:
+		return choice.Failed, loadFrom(trailer)
+	}
+	return choice.OK, loadFrom(trailer)
+}
--- /dev/null
+++ b/fleet/node.go
@@ -0,0 +1,101 @@
+package fleet
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/backoff"
+	"google.golang.org/grpc/connectivity"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/keepalive"
+
+	"embershunt/internal/flightwire"
+)
+
+// node is one query node and its kept connection.
+type node struct {
+	id, address string
+	users       int  // calls that hold it; under Fleet.mu
+	gone        bool // left the list, or moved to another address; under Fleet.mu
+
+	mu     sync.Mutex
+	conn   *grpc.ClientConn
+	closed bool
+}
+
+// dial returns the node's connection, made at the first call. Dialling itself happens in the background.
+func (n *node) dial(o *Options) (*grpc.ClientConn, error) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.conn != nil || n.closed {
+		return n.conn, nil
+	}
+	options := []grpc.DialOption{
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(flightwire.Codec{}),
+			grpc.MaxCallRecvMsgSize(o.MaxFrame), grpc.MaxCallSendMsgSize(o.MaxFrame)),
+		grpc.WithStatsHandler(fateHandler{}),
+		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
+		grpc.WithIdleTimeout(0),
+		// A node that vanished without a reset is noticed by the ping, not by the next query.
+		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: backoff.Config{
+			BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}),
+	}
+	if len(o.Dial) == 0 {
+		options = append(options, grpc.WithTransportCredentials(insecure.NewCredentials()))
+	}
+	conn, err := grpc.NewClient("passthrough:///"+n.address, append(options, o.Dial...)...)
+	if err != nil {
+		return nil, err
+	}
+	n.conn = conn
+	return conn, nil
+}
+
+// ready waits until the connection is up, at most for the connect time-out. What fails here was never sent.
+func (n *node) ready(ctx context.Context, o *Options) (*grpc.ClientConn, error) {
+	conn, err := n.dial(o)
+	if err != nil || conn == nil {
+		return nil, errNotConnected
+	}
+	if conn.GetState() == connectivity.Ready {
+		return conn, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
+	defer cancel()
+	tried := false
+	for {
+		switch s := conn.GetState(); s {
+		case connectivity.Ready:
+			return conn, nil
+		case connectivity.Shutdown:
+			return nil, errNotConnected
+		case connectivity.TransientFailure:
+			if tried { // this call's own try was turned away: waiting longer would only hold the query
+				return nil, errNotConnected
+			}
+			conn.ResetConnectBackoff()
+			tried = true
+			if !conn.WaitForStateChange(ctx, s) {
+				return nil, errNotConnected
+			}
+		default:
+			tried = tried || s == connectivity.Connecting
+			conn.Connect()
+			if !conn.WaitForStateChange(ctx, s) {
+				return nil, errNotConnected
+			}
+		}
+	}
+}
+
+func (n *node) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.closed = true
+	if n.conn != nil {
+		n.conn.Close()
+	}
+}
--- /dev/null
+++ b/standin/node.go
@@ -0,0 +1,302 @@
+package standin
+
+import (
+	"context"
+	"math/rand/v2"
+	"net"
+	"strconv"
+	"sync"
+	"time"
+
+	orcav3 "github.com/cncf/xds/go/xds/data/orca/v3"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/health"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+	"google.golang.org/protobuf/proto"
+
+	arrowsql "github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+)
+
+// Faults is what is wrong with a node. The zero value is health.
+type Faults struct {
+	Hang      bool          // takes queries and never answers them
+	Lost      bool          // does the work and loses the answer; probes succeed
+	StallRow  int           // stops an answer after this many rows, for good; 0: no
+	CutRow    int           // breaks the stream after this many rows; 0: no
+	Fail      float64       // share of queries failed at once
+	Slow      float64       // speed is divided by this; 0 or 1: no
+	PauseFor  time.Duration // stands still for this long ...
+	PauseEach time.Duration // ... this often
+	Full      bool          // turns queries away unseen
+}
+
+// Seen is one attempt as a node saw it.
+type Seen struct {
+	Query     string
+	Attempt   int
+	Node      string
+	At        time.Time // the call came in
+	Statement string
+	Update    bool
+	Ran       bool // its work was done
+	Cancelled bool // the caller left before the end
+}
+
+// Node is a stand-in query node.
+type Node struct {
+	Name    string
+	Address string // set by Start
+
+	model Model
+	mu    sync.Mutex
+	rng   *rand.Rand
+	life  *life
+	fault Faults
+	seen  []*Seen
+}
+
+// life is one process life of a node.
+type life struct {
+	machine  *machine
+	server   *grpc.Server
+	listener *freezer
+	started  time.Time
+	stop     context.CancelFunc
+	done     sync.WaitGroup
+}
+
+// NewNode returns a node that is not started.
+func NewNode(name string, m Model, seed uint64) *Node {
+	return &Node{Name: name, model: m, rng: rand.New(rand.NewPCG(seed, 1))}
+}
+
+// Start brings the node up, at the address it had before if it had one; a cold one starts at part of its speed.
+func (n *Node) Start(address string, cold bool) error {
+	if n.Address != "" {
+		address = n.Address
+	}
+	l, err := net.Listen("tcp", address)
+	if err != nil {
+		return err
+	}
+	n.Address = l.Addr().String()
+	ctx, stop := context.WithCancel(context.Background())
+	v := &life{machine: newMachine(n.model, cold), listener: newFreezer(l), started: time.Now(), stop: stop}
+	v.server = grpc.NewServer(grpc.MaxRecvMsgSize(16<<20), grpc.MaxSendMsgSize(64<<20),
+		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
+			answer, err := h(ctx, req)
+			grpc.SetTrailer(ctx, v.report())
+			return answer, err
+		}),
+		grpc.ChainStreamInterceptor(func(srv any, s grpc.ServerStream, _ *grpc.StreamServerInfo, h grpc.StreamHandler) error {
+			err := h(srv, s)
+			s.SetTrailer(v.report())
+			return err
+		}))
+	server := &flightServer{node: n, life: v, ctx: ctx}
+	flight.RegisterFlightServiceServer(v.server, &termsServer{FlightServer: arrowsql.NewFlightServer(server), life: v})
+	healthpb.RegisterHealthServer(v.server, health.NewServer())
+	n.mu.Lock()
+	n.life = v
+	n.mu.Unlock()
+	n.apply(v)
+	v.done.Add(1)
+	go func() {
+		defer v.done.Done()
+		v.server.Serve(v.listener)
+	}()
+	v.done.Add(1)
+	go func() {
+		defer v.done.Done()
+		n.pauses(ctx, v)
+	}()
+	return nil
+}
+
+// report is an ORCA load report as trailers (gRFC A51).
+func (v *life) report() metadata.MD {
+	util, inflight, memory := v.machine.load()
+	b, err := proto.Marshal(&orcav3.OrcaLoadReport{CpuUtilization: util, Utilization: map[string]float64{"memory": memory},
+		NamedMetrics: map[string]float64{"inflight": inflight}})
+	if err != nil {
+		return nil
+	}
+	return metadata.Pairs("endpoint-load-metrics-bin", string(b))
+}
+
+// Started is when the present life began; zero while the node is down.
+func (n *Node) Started() time.Time {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life == nil {
+		return time.Time{}
+	}
+	return n.life.started
+}
+
+// Die ends the node at once: connections break.
+func (n *Node) Die() {
+	n.mu.Lock()
+	v := n.life
+	n.life = nil
+	n.mu.Unlock()
+	if v == nil {
+		return
+	}
+	v.stop()
+	v.listener.thaw()
+	v.server.Stop()
+	v.done.Wait()
+}
+
+// Vanish makes the node fall silent: no reset, no answer, until it dies or restarts.
+func (n *Node) Vanish() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.life != nil {
+		n.life.listener.freeze()
+	}
+}
+
+// Set changes what is wrong with the node, also for what runs.
+func (n *Node) Set(f Faults) {
+	n.mu.Lock()
+	n.fault = f
+	v := n.life
+	n.mu.Unlock()
+	if v != nil {
+		n.apply(v)
+	}
+}
+
+func (n *Node) faults() Faults {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.fault
+}
+
+func (n *Node) apply(v *life) {
+	f := n.faults()
+	v.machine.do(func() {
+		v.machine.slow = 1
+		if f.Slow > 1 {
+			v.machine.slow = 1 / f.Slow
+		}
+		v.machine.paused = false
+	})
+}
+
+// pauses stands still now and then, where a fault says so.
+func (n *Node) pauses(ctx context.Context, v *life) {
+	wait := func(d time.Duration) bool {
+		t := time.NewTimer(d)
+		defer t.Stop()
+		select {
+		case <-ctx.Done():
+			return false
+		case <-t.C:
+			return true
+		}
+	}
+	for {
+		f := n.faults()
+		if f.PauseFor == 0 {
+			if !wait(50 * time.Millisecond) {
+				return
+			}
+			continue
+		}
+		v.machine.do(func() { v.machine.paused = true })
+		ok := wait(f.PauseFor)
+		v.machine.do(func() { v.machine.paused = false })
+		if !ok || !wait(f.PauseEach) {
+			return
+		}
+	}
+}
+
+// Seen returns all attempts that the node saw, over all its lives.
+func (n *Node) Seen() []Seen {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	out := make([]Seen, len(n.seen))
+	for i, s := range n.seen {
+		out[i] = *s
+	}
+	return out
+}
+
+// note books an attempt by its call headers.
+func (n *Node) note(ctx context.Context, statement string, update bool) *Seen {
+	md, _ := metadata.FromIncomingContext(ctx)
+	first := func(name string) string {
+		if v := md.Get(name); len(v) > 0 {
+			return v[0]
+		}
+		return ""
+	}
+	number, _ := strconv.Atoi(first("embershunt-attempt"))
+	s := &Seen{Query: first("embershunt-query"), Attempt: number, Node: n.Name, At: time.Now(), Statement: statement,
+		Update: update}
+	n.mu.Lock()
+	n.seen = append(n.seen, s)
+	n.mu.Unlock()
+	return s
+}
+
+func (n *Node) mark(change func()) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	change()
+}
+
+// work runs a statement on the machine, or does what the faults say.
+func (n *Node) work(ctx context.Context, v *life, s *Seen, h hints) error {
+	f := n.faults()
+	n.mu.Lock()
+	chance := n.rng.Float64()
+	n.mu.Unlock()
+	switch {
+	case f.Full:
+		grpc.SetTrailer(ctx, metadata.Pairs("embershunt-ran", "no"))
+		return status.Error(codes.ResourceExhausted, "too many sessions")
+	case chance < f.Fail:
+		return status.Error(codes.Internal, "failed at once")
+	case f.Hang:
+		<-ctx.Done()
+		n.mark(func() { s.Cancelled = true })
+		return ctx.Err()
+	}
+	if h.fail != "" {
+		return status.Error(codes.InvalidArgument, h.fail)
+	}
+	md, _ := metadata.FromIncomingContext(ctx)
+	number := func(name string, otherwise float64) float64 {
+		if v := md.Get(name); len(v) > 0 {
+			if x, err := strconv.ParseFloat(v[0], 64); err == nil {
+				return x
+			}
+		}
+		return otherwise
+	}
+	j, remove := v.machine.run(s.Query, h.work.Seconds(), h.threads, h.memory, number("embershunt-memory-mb", 0),
+		int(number("embershunt-priority", 1)))
+	select {
+	case <-j.done:
+	case <-ctx.Done():
+		remove()
+		n.mark(func() { s.Cancelled = true })
+		return ctx.Err()
+	}
+	n.mark(func() { s.Ran = true })
+	if n.faults().Lost {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
