--- a/classify/statement.go
+++ b/classify/statement.go
@@ -58,7 +58,7 @@
 type scanner struct {
 	text string
 	at   int
-	hint string // the content of the first block comment that stands before the first word or right after it
+	hint string // the content of the first block comment
 }
 
 // peek is the next character that is no space; 0 at the end.
@@ -152,12 +152,10 @@
 		return nil
 	}
 	s := scanner{text: statement}
-	for words := 0; words < 2 && s.hint == ""; {
-		kind, _ := s.next()
-		if kind == tokenEnd || kind == tokenBroken {
+	for s.hint == "" {
+		if kind, _ := s.next(); kind == tokenEnd || kind == tokenBroken {
 			break
 		}
-		words++
 	}
 	var out map[string]string
 	for _, part := range strings.Fields(s.hint) {
--- /dev/null
+++ b/cmd/emberday/main.go
@@ -0,0 +1,67 @@
+// Command emberday plays a scripted day on loopback and judges the seven rules from what passed the sockets.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+
+	"github.com/alecthomas/kong"
+
+	"embershunt/config"
+	"embershunt/day"
+	"embershunt/internal/logs"
+)
+
+var cli struct {
+	Script string          `arg:"" type:"existingfile" help:"Day script (JSON with comments)."`
+	Seed   int             `help:"Seed, in place of the script's."`
+	Length config.Duration `help:"Length, in place of the script's; faults past it are not played to their end."`
+	Level  string          `default:"error" enum:"debug,info,warn,error" help:"Log level (${enum})."`
+}
+
+// Exit codes: 0 no rule broken, 1 one was, 2 wrong usage or script, 3 the day could not be played.
+func main() {
+	kong.Parse(&cli, kong.Name("emberday"), kong.Description("Plays a scripted day and judges the rules."))
+	os.Exit(run())
+}
+
+func run() int {
+	text, err := os.ReadFile(cli.Script)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	s, err := day.Parse(cli.Script, text)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	if cli.Seed != 0 {
+		s.Seed = cli.Seed
+	}
+	if cli.Length != 0 {
+		s.Length = cli.Length
+	}
+	log, flush, err := logs.New(cli.Level, "console")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 2
+	}
+	defer flush()
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
+	defer stop()
+	r, err := day.Run(ctx, s, log)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberday:", err)
+		return 3
+	}
+	if err := r.Print(os.Stdout); err != nil {
+		return 3
+	}
+	if r.Broken() {
+		return 1
+	}
+	return 0
+}
--- a/config/config.go
+++ b/config/config.go
@@ -191,6 +191,15 @@
 	return Parse(path, text)
 }
 
+// FromFile validates a configuration that was made in memory.
+func FromFile(f File) (*Config, error) {
+	text, err := json.Marshal(f)
+	if err != nil {
+		return nil, err
+	}
+	return Parse(f.Name, text)
+}
+
 // Parse validates a configuration. Its error is *Mistakes.
 func Parse(name string, text []byte) (*Config, error) {
 	c := &Config{}
--- a/config/decode.go
+++ b/config/decode.go
@@ -97,6 +97,22 @@
 // MarshalText writes it as it is read.
 func (d Duration) MarshalText() ([]byte, error) { return []byte(time.Duration(d).String()), nil }
 
+// Decode reads JSON with comments into v, which points to a struct whose fields have json tags. Unknown fields are
+// mistakes; check, if given, may add more by path. The error is *Mistakes.
+func Decode(file string, text []byte, v any, check func(wrong func(path, found, allowed string))) error {
+	d, err := parse(file, text, v)
+	if err != nil {
+		return err
+	}
+	if check != nil {
+		check(d.wrong)
+	}
+	if len(d.all) > 0 {
+		return &Mistakes{file, d.all}
+	}
+	return nil
+}
+
 // parse reads text into v, which points to a struct.
 func parse(file string, text []byte, v any) (*decoder, error) {
 	d := &decoder{text: text, places: map[string]int{}}
@@ -155,6 +171,9 @@
 
 func (d *decoder) value(path string, v hujson.Value, into reflect.Value) {
 	d.places[path] = v.StartOffset
+	if lit, ok := v.Value.(hujson.Literal); ok && string(lit) == "null" && into.Kind() != reflect.Struct {
+		return // as if it were absent, so that what embercheck prints can be read again
+	}
 	if into.Type() == durationType {
 		d.duration(path, v, into)
 		return
@@ -163,9 +182,6 @@
 	case reflect.Struct:
 		d.object(path, v, into)
 	case reflect.Pointer:
-		if lit, ok := v.Value.(hujson.Literal); ok && string(lit) == "null" {
-			return
-		}
 		into.Set(reflect.New(into.Type().Elem()))
 		d.value(path, v, into.Elem())
 	case reflect.Slice:
@@ -266,3 +282,10 @@
 		seen[name] = true
 	}
 }
+
+// UnmarshalText reads it as it is written in a file, for command lines.
+func (d *Duration) UnmarshalText(text []byte) error {
+	span, err := time.ParseDuration(string(text))
+	*d = Duration(span)
+	return err
+}
--- /dev/null
+++ b/day/script.go
@@ -0,0 +1,155 @@
+// Package day plays a scripted day on loopback: stand-in nodes and control service, real dispatchers, real Flight SQL
+// clients, faults at their times. The seven rules are judged afterwards from what passed the sockets: the clients'
+// tallies against the nodes', never from the dispatchers' own counters.
+package day
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"strings"
+	"time"
+
+	"embershunt/config"
+)
+
+// Script is a day as it is written.
+type Script struct {
+	Name        string          `json:"name"`
+	Seed        int             `json:"seed"`
+	Length      config.Duration `json:"length"` // clients send for this long
+	Dispatchers int             `json:"dispatchers"`
+	Config      config.File     `json:"config"` // of every dispatcher; name, number, listen and nodes are filled in
+	Nodes       []NodeGroup     `json:"nodes"`
+	ListDelay   config.Duration `json:"list_delay"` // by which the control service learns of starts and ends
+	Clients     []ClientGroup   `json:"clients"`
+	Faults      []Fault         `json:"faults"`
+}
+
+// NodeGroup is some nodes of one kind in one hall.
+type NodeGroup struct {
+	Count int    `json:"count"`
+	Hall  string `json:"hall"`
+	Kind  string `json:"kind"`
+}
+
+// ClientGroup is a stream of like queries.
+type ClientGroup struct {
+	Name      string          `json:"name"`
+	Class     string          `json:"class"`
+	Rate      float64         `json:"rate"`    // queries a second, over all dispatchers, drawn by chance (Poisson)
+	WorkMS    float64         `json:"work_ms"` // median; the rest is spread by sigma (log-normal)
+	Sigma     float64         `json:"sigma"`
+	Threads   int             `json:"threads"`
+	Rows      int             `json:"rows"`
+	RowBytes  int             `json:"row_bytes"`
+	MemoryMB  float64         `json:"memory_mb"`
+	Deadline  config.Duration `json:"deadline"`
+	Update    bool            `json:"update"`
+	Keys      int             `json:"keys"`    // order keys in use; 0: none
+	Retries   int             `json:"retries"` // of a refused query, after its come-back time
+	LeaveRate float64         `json:"leave"`   // share of queries whose client leaves halfway to the deadline
+	Hints     bool            `json:"hints"`   // state cost and memory
+	Burst     int             `json:"burst"`   // this many at once ...
+	BurstAt   config.Duration `json:"burst_at"`
+}
+
+// Fault strikes at a time and lasts for a while.
+type Fault struct {
+	At    config.Duration `json:"at"`
+	For   config.Duration `json:"for"`
+	Do    string          `json:"do"`
+	Nodes []int           `json:"nodes"` // numbers from 0; for kill: dispatchers
+	Share float64         `json:"share"` // fail: of queries
+	Times float64         `json:"times"` // slow: factor
+	Rows  int             `json:"rows"`  // stall, cut: after this many
+	Pause config.Duration `json:"pause"` // pause: length
+	Each  config.Duration `json:"each"`  // pause: distance
+}
+
+// faultKinds are the faults and whether they name nodes.
+var faultKinds = map[string]bool{"die": true, "vanish": true, "hang": true, "lose": true, "stall": true, "cut": true,
+	"fail": true, "slow": true, "pause": true, "full": true, "drain": true, "list_down": false, "list_empty": false,
+	"list_malformed": false, "kill": true}
+
+// Parse reads a script. Its error is *config.Mistakes.
+func Parse(name string, text []byte) (*Script, error) {
+	s := &Script{}
+	err := config.Decode(name, text, s, func(wrong func(path, found, allowed string)) {
+		nodes := 0
+		for i, g := range s.Nodes {
+			nodes += g.Count
+			if g.Count < 1 || nodes > 100 {
+				wrong(fmt.Sprintf("nodes[%d].count", i), fmt.Sprint(g.Count), "1 or more, 100 in all at most")
+			}
+		}
+		if s.Dispatchers < 1 || s.Dispatchers > 20 {
+			wrong("dispatchers", fmt.Sprint(s.Dispatchers), "1 to 20")
+		}
+		if s.Length.D() < time.Second || s.Length.D() > 10*time.Minute {
+			wrong("length", s.Length.D().String(), "1s to 10m")
+		}
+		if nodes == 0 {
+			wrong("nodes", "none", "at least one group")
+		}
+		for i, g := range s.Clients {
+			at := fmt.Sprintf("clients[%d]", i)
+			if g.Rate < 0 || g.Rate > 5000 {
+				wrong(at+".rate", fmt.Sprint(g.Rate), "0 to 5000 a second")
+			}
+			if g.Deadline.D() < time.Millisecond {
+				wrong(at+".deadline", g.Deadline.D().String(), "1ms or more")
+			}
+			if g.Burst < 0 || g.Burst > 20000 {
+				wrong(at+".burst", fmt.Sprint(g.Burst), "0 to 20000")
+			}
+			if !slices.ContainsFunc(s.Config.Classes, func(c config.Class) bool { return c.Name == g.Class }) {
+				wrong(at+".class", fmt.Sprintf("%q", g.Class), "a class of config.classes")
+			}
+		}
+		for i, f := range s.Faults {
+			at := fmt.Sprintf("faults[%d]", i)
+			takes, ok := faultKinds[f.Do]
+			if !ok {
+				wrong(at+".do", fmt.Sprintf("%q", f.Do), strings.Join(slices.Sorted(maps.Keys(faultKinds)), ", "))
+				continue
+			}
+			most := nodes
+			if f.Do == "kill" {
+				most = s.Dispatchers
+			}
+			if takes == (len(f.Nodes) == 0) {
+				wrong(at+".nodes", fmt.Sprint(f.Nodes), "numbers for faults of nodes and dispatchers, none for those of the list")
+			}
+			for _, n := range f.Nodes {
+				if n < 0 || n >= most {
+					wrong(at+".nodes", fmt.Sprint(n), fmt.Sprintf("0 to %d", most-1))
+				}
+			}
+		}
+	})
+	if err != nil {
+		return nil, err
+	}
+	s.Config.AnyUser = true
+	s.Config.Users = nil
+	if _, err := s.config(0, "127.0.0.1:1"); err != nil {
+		return nil, err
+	}
+	return s, nil
+}
+
+// config is the configuration of one dispatcher.
+func (s *Script) config(i int, control string) (*config.Config, error) {
+	f := s.Config
+	f.Name, f.Peers, f.Number = fmt.Sprintf("dispatcher-%d", i), s.Dispatchers, i
+	f.Listen = config.Listen{FlightSQL: "127.0.0.1:0"}
+	f.Nodes = config.Nodes{EDS: &config.EDS{Address: control, Cluster: cluster}}
+	f.Hall = ""
+	if len(f.Halls) > 0 {
+		f.Hall = f.Halls[i%len(f.Halls)]
+	}
+	return config.FromFile(f)
+}
+
+const cluster = "nodes"
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -194,3 +194,9 @@
 	}
 	group.Wait()
 }
+
+// Kill breaks every connection and stops listening, without a word to anybody: a crash, for tests. Run must be ended
+// by its context afterwards.
+func (d *Dispatcher) Kill() {
+	d.server.Stop()
+}
--- a/standin/freezer.go
+++ b/standin/freezer.go
@@ -10,6 +10,7 @@
 	net.Listener
 	mu     sync.Mutex
 	frozen chan struct{} // closed when thawed; nil: not frozen
+	dead   bool          // what was read while frozen is lost
 }
 
 func newFreezer(l net.Listener) *freezer { return &freezer{Listener: l} }
@@ -22,22 +23,30 @@
 	}
 }
 
-func (f *freezer) thaw() {
+// die lets go of what waits: it gets nothing any more.
+func (f *freezer) die() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	f.dead = true
 	if f.frozen != nil {
 		close(f.frozen)
 		f.frozen = nil
 	}
 }
 
-func (f *freezer) wait() {
+func (f *freezer) wait() error {
 	f.mu.Lock()
 	c := f.frozen
 	f.mu.Unlock()
 	if c != nil {
 		<-c
 	}
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.dead {
+		return net.ErrClosed
+	}
+	return nil
 }
 
 // Accept implements net.Listener.
@@ -56,11 +65,15 @@
 
 func (c *frozenConn) Read(b []byte) (int, error) {
 	n, err := c.Conn.Read(b)
-	c.f.wait()
+	if dead := c.f.wait(); dead != nil {
+		return 0, dead
+	}
 	return n, err
 }
 
 func (c *frozenConn) Write(b []byte) (int, error) {
-	c.f.wait()
+	if dead := c.f.wait(); dead != nil {
+		return 0, dead
+	}
 	return c.Conn.Write(b)
 }
--- a/standin/node.go
+++ b/standin/node.go
@@ -45,6 +45,7 @@
 	Update    bool
 	Ran       bool // its work was done
 	Cancelled bool // the caller left before the end
+	End       time.Time
 }
 
 // Node is a stand-in query node.
@@ -149,7 +150,7 @@
 		return
 	}
 	v.stop()
-	v.listener.thaw()
+	v.listener.die()
 	v.server.Stop()
 	v.done.Wait()
 }
@@ -257,6 +258,7 @@
 
 // work runs a statement on the machine, or does what the faults say.
 func (n *Node) work(ctx context.Context, v *life, s *Seen, h hints) error {
+	defer func() { n.mark(func() { s.End = time.Now() }) }()
 	f := n.faults()
 	n.mu.Lock()
 	chance := n.rng.Float64()
