Failing nodes, drains, lost lists, slow readers, 10,000 at once, over real sockets

Each hard case gets a test that drives a whole dispatcher. Found and mended: HTTP/2 pings every 10 s make an ordinary gRPC server break the connection off (ENHANCE_YOUR_CALM), which cut node connections and the list's stream; a vanished peer is now noticed by TCP keep-alive and TCP_USER_TIMEOUT.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -13,7 +13,7 @@
 
 // Core is a gateway with its ledger. It is not safe for concurrent use.
 type Core struct {
-	gateway  *choice.Gateway
+	gateway  decider
 	fleet    Fleet
 	observe  Observer
 	books    ledger
@@ -25,6 +25,11 @@
 	extra    []choice.Event
 }
 
+// decider is what a Core asks: *choice.Gateway, but in tests of what a faulty one may do.
+type decider interface {
+	Step(now Micros, events []choice.Event) []choice.Action
+}
+
 // Observer sees what happened, for metrics, logs and traces. It is called from the loop and must not block.
 type Observer interface {
 	Taken(q *Query)
--- /dev/null
+++ b/dispatch/core_test.go
@@ -0,0 +1,311 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"embershunt/choice"
+)
+
+const ms = Micros(1000)
+
+// scripted is a decider that says what a test tells it to.
+type scripted struct {
+	say  func(now Micros, events []choice.Event) []choice.Action
+	told []choice.Event
+}
+
+func (s *scripted) Step(now Micros, events []choice.Event) []choice.Action {
+	s.told = append(s.told, events...)
+	if s.say == nil {
+		return nil
+	}
+	return s.say(now, events)
+}
+
+// tape is a fleet, an observer and a client that write down what they are asked.
+type tape struct {
+	lines  []string
+	faults []FaultKind
+	out    map[string]int // attempts sent and not ended
+}
+
+func (t *tape) put(format string, args ...any) {
+	t.lines = append(t.lines, fmt.Sprintf(format, args...))
+}
+func (t *tape) Send(a Attempt)                    { t.put("send %s/%d %s", a.Query.ID, a.N, a.Node) }
+func (t *tape) Open(id string, n int)             { t.put("open %s/%d", id, n) }
+func (t *tape) Cancel(id string, n int)           { t.put("cancel %s/%d", id, n) }
+func (t *tape) Terms(id string, _ float64, p int) { t.put("terms %s %d", id, p) }
+func (t *tape) Probe(node string)                 { t.put("probe %s", node) }
+func (t *tape) Watch()                            {}
+func (t *tape) Fetch()                            {}
+func (t *tape) Tell(int, []byte)                  {}
+func (t *tape) Taken(*Query)                      {}
+func (t *tape) Answered(*Query, Verdict, Micros)  {}
+func (t *tape) Sent(Attempt)                      {}
+func (t *tape) Ended(*Query, string, Ended)       {}
+func (t *tape) Fault(f Fault)                     { t.faults = append(t.faults, f.Kind) }
+func (t *tape) Note(string)                       {}
+func (t *tape) Stepped(events, actions, held int) {}
+func (t *tape) client(id string) clientTape       { return clientTape{t, id} }
+func (t *tape) query(id string, due Micros) *Query {
+	return &Query{ID: id, Due: due, Client: t.client(id)}
+}
+
+type clientTape struct {
+	t  *tape
+	id string
+}
+
+func (c clientTape) Answer(v Verdict) {
+	c.t.put("answer %s %s %s", c.id, v.Final, v.Reason)
+}
+
+func newTestCore(s *scripted, t *tape) *Core {
+	return &Core{gateway: s, fleet: t, observe: t, books: ledger{entries: map[string]*entry{}}}
+}
+
+// What the ledger lets through and what it withholds, whatever the module says.
+func TestLedgerGivesOneAnswer(t *testing.T) {
+	send := choice.Send{ID: "q", Engine: "n1"}
+	send2 := choice.Send{ID: "q", Engine: "n2"}
+	type step struct {
+		at  Micros
+		in  []Event
+		say []choice.Action
+	}
+	ended := func(n int, c choice.Code) Event { return Ended{ID: "q", N: n, Code: c} }
+	cases := []struct {
+		name   string
+		steps  []step
+		want   string
+		faults []FaultKind
+	}{
+		{"served by a clean end", []step{{0, nil, []choice.Action{send}}, {5, []Event{ended(0, choice.OK)}, nil}},
+			"send q/0 n1; answer q served ", nil},
+		{"a second answer is withheld", []step{
+			{0, nil, []choice.Action{send}}, {5, []Event{ended(0, choice.OK)}, []choice.Action{choice.Refuse{ID: "q"}}}},
+			"send q/0 n1; answer q served ", []FaultKind{FaultUnknown}},
+		{"a second answer while an attempt is out", []step{
+			{0, nil, []choice.Action{send, choice.Fail{ID: "q"}, choice.Refuse{ID: "q"}}}},
+			"send q/0 n1; answer q failed ATTEMPT_FAILED; cancel q/0", []FaultKind{FaultDoubleAnswer}},
+		{"nothing leaves after the answer", []step{{0, nil, []choice.Action{send, choice.Fail{ID: "q"}, send2}}},
+			"send q/0 n1; answer q failed ATTEMPT_FAILED; cancel q/0", []FaultKind{FaultLateSend}},
+		{"nothing leaves after the deadline", []step{{100 * ms, nil, []choice.Action{send}}},
+			"answer q failed DEADLINE", []FaultKind{FaultForgotten, FaultUnknown}},
+		{"a forgotten query is failed at its deadline", []step{{0, nil, []choice.Action{send}}, {100 * ms, nil, nil}},
+			"send q/0 n1; answer q failed DEADLINE; cancel q/0", []FaultKind{FaultForgotten}},
+		{"an end that comes twice", []step{{0, nil, []choice.Action{send}},
+			{5, []Event{ended(0, choice.Failed), ended(0, choice.Failed)}, nil}},
+			"send q/0 n1", []FaultKind{FaultDoubleEnd}},
+		{"an end that nobody waits for", []step{{5, []Event{ended(3, choice.OK)}, nil}}, "", []FaultKind{FaultLateOutcome}},
+		{"an id that comes twice", []step{{5, []Event{Taken{&Query{ID: "q", Client: clientTape{&tape{}, "q"}}}}, nil}},
+			"", []FaultKind{FaultDoubleID}},
+		{"the first to begin has the client", []step{{0, nil, []choice.Action{send, send2}},
+			{5, []Event{Begun{"q", 1}, Begun{"q", 0}}, nil}, {9, []Event{ended(0, choice.Cancelled)}, nil},
+			{12, []Event{ended(1, choice.OK)}, nil}},
+			"send q/0 n1; send q/1 n2; open q/1; cancel q/0; answer q served ", nil},
+		{"no further attempt once an answer flows", []step{{0, nil, []choice.Action{send}},
+			{5, []Event{Begun{"q", 0}}, []choice.Action{send2}}}, "send q/0 n1; open q/0", []FaultKind{FaultLateSend}},
+		{"a broken stream is failed at once", []step{{0, nil, []choice.Action{send}}, {5, []Event{Begun{"q", 0}}, nil},
+			{9, []Event{ended(0, choice.Reset)}, nil}}, "send q/0 n1; open q/0; answer q failed ANSWER_BROKEN", nil},
+		{"a stalled stream is cut off at the deadline, no fault", []step{{0, nil, []choice.Action{send}},
+			{5, []Event{Begun{"q", 0}}, nil}, {100 * ms, nil, nil}},
+			"send q/0 n1; open q/0; answer q failed DEADLINE; cancel q/0", nil},
+		{"a statement that a node turns down is over", []step{{0, nil, []choice.Action{send}},
+			{5, []Event{Ended{ID: "q", Code: choice.Failed, Rejected: true}}, nil}},
+			"send q/0 n1; answer q failed STATEMENT", nil},
+		{"a client that left", []step{{0, nil, []choice.Action{send}}, {5, []Event{Left{"q"}}, nil}},
+			"send q/0 n1; answer q failed CLIENT_GONE; cancel q/0", nil},
+		{"a begin after the answer is called off, once", []step{{0, nil, []choice.Action{send, choice.Fail{ID: "q"}}},
+			{5, []Event{Begun{"q", 0}}, nil}},
+			"send q/0 n1; answer q failed ATTEMPT_FAILED; cancel q/0", nil},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			log, s := &tape{}, &scripted{}
+			core := newTestCore(s, log)
+			first := []Event{Taken{log.query("q", 100*ms)}}
+			for i, st := range c.steps {
+				s.say = func(Micros, []choice.Event) []choice.Action {
+					out := st.say
+					st.say = nil
+					return out
+				}
+				in := st.in
+				if i == 0 {
+					in = append(first, in...)
+				}
+				if err := core.Step(st.at, in); err != nil {
+					t.Fatal(err)
+				}
+			}
+			if got := strings.Join(log.lines, "; "); got != c.want {
+				t.Errorf("got  %s\nwant %s", got, c.want)
+			}
+			if !slices.Equal(log.faults, c.faults) {
+				t.Errorf("faults %v, want %v", log.faults, c.faults)
+			}
+		})
+	}
+}
+
+func TestAPanicFailsAllThatIsHeldAndEndsTheCore(t *testing.T) {
+	log, s := &tape{}, &scripted{}
+	core := newTestCore(s, log)
+	if err := core.Step(0, []Event{Taken{log.query("a", 9*ms)}, Taken{log.query("b", 5*ms)}}); err != nil {
+		t.Fatal(err)
+	}
+	s.say = func(Micros, []choice.Event) []choice.Action { panic("no such class") }
+	err := core.Step(ms, nil)
+	var p *PanicError
+	if !errors.As(err, &p) || !strings.Contains(err.Error(), "no such class") || len(p.Stack) == 0 {
+		t.Fatalf("error %v", err)
+	}
+	if got := strings.Join(log.lines, "; "); got != "answer b failed DISPATCHER_FAULT; answer a failed DISPATCHER_FAULT" {
+		t.Error(got)
+	}
+	if core.Held() != 0 {
+		t.Errorf("%d still held", core.Held())
+	}
+}
+
+func TestTurnedAwayBeforeTheModule(t *testing.T) {
+	log, s := &tape{}, &scripted{}
+	core := newTestCore(s, log)
+	core.most = 1
+	core.Step(0, []Event{Taken{log.query("a", 9*ms)}, Taken{log.query("b", 9*ms)}})
+	core.Drain()
+	core.Step(1, []Event{Taken{log.query("c", 9*ms)}})
+	if got := strings.Join(log.lines, "; "); got != "answer b refused DISPATCHER_FULL; answer c refused DISPATCHER_STOPS" {
+		t.Error(got)
+	}
+	if len(s.told) != 1 {
+		t.Errorf("the module was told %v", s.told)
+	}
+}
+
+// Whatever a faulty module says and in whatever order ends come in, each query gets exactly one answer, not after its
+// deadline, and nothing is sent for it afterwards.
+func TestOneAnswerWhateverTheModuleSays(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		log, s := &tape{}, &scripted{}
+		core := newTestCore(s, log)
+		ids := []string{"a", "b", "c"}
+		pick := func() string { return ids[rapid.IntRange(0, 2).Draw(r, "id")] }
+		s.say = func(Micros, []choice.Event) (out []choice.Action) {
+			for range rapid.IntRange(0, 3).Draw(r, "actions") {
+				switch id := pick(); rapid.IntRange(0, 5).Draw(r, "action") {
+				case 0, 1:
+					out = append(out, choice.Send{ID: id, Engine: "n"})
+				case 2:
+					out = append(out, choice.Refuse{ID: id})
+				case 3:
+					out = append(out, choice.Fail{ID: id})
+				case 4:
+					out = append(out, choice.Cancel{ID: id, Attempt: rapid.IntRange(0, 3).Draw(r, "n")})
+				case 5:
+					out = append(out, choice.Terms{ID: id, Priority: 1})
+				}
+			}
+			return out
+		}
+		now := Micros(0)
+		for i, id := range ids {
+			core.Step(now, []Event{Taken{log.query(id, Micros(10+10*i)*ms)}})
+		}
+		for range rapid.IntRange(0, 20).Draw(r, "steps") {
+			now += Micros(rapid.IntRange(0, 5).Draw(r, "after")) * ms
+			var in []Event
+			for range rapid.IntRange(0, 2).Draw(r, "events") {
+				id, n := pick(), rapid.IntRange(0, 3).Draw(r, "n")
+				switch rapid.IntRange(0, 3).Draw(r, "event") {
+				case 0:
+					in = append(in, Begun{id, n})
+				case 1, 2:
+					in = append(in, Ended{ID: id, N: n, Code: choice.Code(rapid.IntRange(0, 7).Draw(r, "code"))})
+				case 3:
+					in = append(in, Left{id})
+				}
+			}
+			if err := core.Step(now, in); err != nil {
+				r.Fatal(err)
+			}
+		}
+		core.Step(100*ms, nil)
+		for _, id := range ids {
+			answers, after := 0, false
+			for _, l := range log.lines {
+				switch {
+				case strings.HasPrefix(l, "answer "+id+" "):
+					answers++
+					after = true
+				case after && (strings.HasPrefix(l, "send "+id+"/") || strings.HasPrefix(l, "open "+id+"/")):
+					r.Fatalf("after the answer: %s", l)
+				}
+			}
+			if answers != 1 {
+				r.Fatalf("%s has %d answers: %v", id, answers, log.lines)
+			}
+		}
+	})
+}
+
+// BenchmarkStep is the cost of one query through core and module: taken, sent, begun, ended.
+func BenchmarkStep(b *testing.B) {
+	for _, nodes := range []int{8, 34, 76} {
+		b.Run(fmt.Sprintf("nodes=%d", nodes), func(b *testing.B) {
+			log := &quiet{}
+			core, err := NewCore(1, choice.Settings{Peers: 1, MaxAttempts: 3, CanCancel: true, PriorityCount: true,
+				ReportsByAnswer: true, Kinds: []choice.Kind{{Cores: 8, MemoryMB: 16384}},
+				Classes: []choice.Class{{Name: "lookup", Worth: 1, Aim: 750 * ms, Deadline: 4000 * ms}}}, log, log)
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := Micros(1e9)
+			rows := make([]choice.Engine, nodes)
+			for i := range rows {
+				rows[i].ID = fmt.Sprintf("node-%d", i)
+			}
+			core.Step(now, []Event{Told{choice.Engines{Whole: true, Rows: rows}}})
+			b.ReportAllocs()
+			b.ResetTimer()
+			for i := range b.N {
+				id := fmt.Sprintf("q%d", i)
+				log.node = ""
+				core.Step(now, []Event{Taken{&Query{ID: id, Cost: 20 * ms, Due: now + 4000*ms, Client: log}}})
+				now += 100
+				core.Step(now, []Event{Begun{id, 0}})
+				now += 100
+				core.Step(now, []Event{Ended{ID: id, Code: choice.OK, Took: 200, Load: &choice.Load{Util: 0.3, InFlight: -1, Queue: -1, Memory: -1, Disk: -1}}})
+				now += 800
+			}
+			if log.served != b.N {
+				b.Fatalf("%d of %d served", log.served, b.N)
+			}
+		})
+	}
+}
+
+// quiet is a tape that keeps nothing but a count.
+type quiet struct {
+	tape
+	node   string
+	served int
+}
+
+func (q *quiet) Send(a Attempt)             { q.node = a.Node }
+func (q *quiet) Open(string, int)           {}
+func (q *quiet) Cancel(string, int)         {}
+func (q *quiet) Terms(string, float64, int) {}
+func (q *quiet) Answer(v Verdict) {
+	if v.Final == Served {
+		q.served++
+	}
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -6,7 +6,6 @@
 	"fmt"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
@@ -14,7 +13,6 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/status"
 
-	"embershunt/choice"
 	"embershunt/config"
 	"embershunt/dispatcher"
 	"embershunt/fleet"
@@ -39,11 +37,17 @@
     {"name": "report", "worth": 10, "aim": "2s", "deadline": "15s", "threads": 4, "late_worth": 0.4}
   ],
   "sending": {"grants": true, "priorities": true, "probes": true},
-  "nodes": {"list": [%s]} %s
+  "nodes": %s %s
 }`
 
 // newRig starts everything; more is put into the configuration.
 func newRig(t *testing.T, nodes int, more string) *rig {
+	t.Helper()
+	return newRigWith(t, nodes, func(rows string) string { return `{"list": [` + rows + `]}` }, more)
+}
+
+// newRigWith has its node list from where source says, given the rows of a list.
+func newRigWith(t *testing.T, nodes int, source func(rows string) string, more string) *rig {
 	t.Helper()
 	r := &rig{t: t, ended: make(chan error, 1)}
 	var rows []string
@@ -56,7 +60,7 @@
 		r.nodes = append(r.nodes, n)
 		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q}`, n.Name, n.Address))
 	}
-	cfg, err := config.Parse("rig", fmt.Appendf(nil, rigConfig, strings.Join(rows, ","), more))
+	cfg, err := config.Parse("rig", fmt.Appendf(nil, rigConfig, source(strings.Join(rows, ",")), more))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -132,6 +136,15 @@
 	return s.GRPCStatus().Code().String()
 }
 
+func hasComeBack(err error) bool {
+	for _, d := range status.Convert(err).Details() {
+		if r, ok := d.(*errdetails.RetryInfo); ok {
+			return r.GetRetryDelay().AsDuration() > 0
+		}
+	}
+	return false
+}
+
 func TestSelectGoesThroughToANodeAndBack(t *testing.T) {
 	r := newRig(t, 2, "")
 	rows, err := r.query(t.Context(), "SELECT * FROM policy /* rows=3000 work_ms=2 */")
@@ -145,6 +158,4 @@
 	if seen := len(r.nodes[0].Seen()) + len(r.nodes[1].Seen()); seen != 2 {
 		t.Fatalf("nodes saw %d attempts, want 2", seen)
 	}
-	_ = choice.OK
-	_ = time.Second
 }
--- /dev/null
+++ b/dispatcher/main_test.go
@@ -0,0 +1,9 @@
+package dispatcher_test
+
+import (
+	"testing"
+
+	"go.uber.org/goleak"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
--- /dev/null
+++ b/dispatcher/nodes_test.go
@@ -0,0 +1,254 @@
+package dispatcher_test
+
+import (
+	"context"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/status"
+
+	"embershunt/choice"
+	"embershunt/fleet"
+	"embershunt/standin"
+)
+
+// seen is all that the nodes saw of a statement.
+func (r *rig) seen(statement string) (out []standin.Seen) {
+	for _, n := range r.nodes {
+		for _, s := range n.Seen() {
+			if s.Statement == statement {
+				out = append(out, s)
+			}
+		}
+	}
+	return out
+}
+
+// What a client hears when nodes fail in each of their ways, and that an effect does not happen twice.
+func TestWaysInWhichNodesFail(t *testing.T) {
+	const read, write = "SELECT 1 /* rows=4000 */", "INSERT INTO t VALUES (1) /* rows=1 work_ms=5 */"
+	all := func(f standin.Faults) func(*rig) {
+		return func(r *rig) {
+			for _, n := range r.nodes {
+				n.Set(f)
+			}
+		}
+	}
+	first := func(f standin.Faults) func(*rig) { return func(r *rig) { r.nodes[0].Set(f) } }
+	cases := []struct {
+		name      string
+		fault     func(*rig)
+		statement string
+		deadline  time.Duration
+		want      []string // any of them
+		within    time.Duration
+		ran       int // most runs
+	}{
+		{"all silent", all(standin.Faults{Hang: true}), read, 900 * time.Millisecond,
+			[]string{"failed ATTEMPT_FAILED", "refused OVERLOADED"}, 900 * time.Millisecond, 0},
+		{"one silent before its first frame", first(standin.Faults{Hang: true}), read, 4 * time.Second,
+			[]string{"served"}, 4 * time.Second, 1},
+		{"all stall after the first frame", all(standin.Faults{StallRow: 100}), read, time.Second,
+			[]string{"failed DEADLINE"}, time.Second, 1},
+		{"all cut the stream", all(standin.Faults{CutRow: 100}), read, 4 * time.Second,
+			[]string{"failed ANSWER_BROKEN"}, 2 * time.Second, 1},
+		{"one fails fast", first(standin.Faults{Fail: 1}), read, 4 * time.Second, []string{"served"}, 4 * time.Second, 1},
+		{"one turns all away", first(standin.Faults{Full: true}), write, 4 * time.Second, []string{"served"},
+			4 * time.Second, 1},
+		{"one is dead", func(r *rig) { r.nodes[0].Die() }, write, 4 * time.Second, []string{"served"}, 4 * time.Second, 1},
+		{"an update whose answer is lost", all(standin.Faults{Lost: true}), write, 900 * time.Millisecond,
+			[]string{"failed ATTEMPT_FAILED"}, 900 * time.Millisecond, 1},
+		{"an update that fails", all(standin.Faults{Fail: 1}), write, 4 * time.Second,
+			[]string{"failed ATTEMPT_FAILED"}, time.Second, 0},
+		{"all turn all away", all(standin.Faults{Full: true}), write, 900 * time.Millisecond,
+			[]string{"refused OVERLOADED"}, 900 * time.Millisecond, 0},
+		{"a statement that nodes turn down", nil, "SELECT /* fail=no_such_table */ 1", 4 * time.Second,
+			[]string{"failed STATEMENT"}, time.Second, 0},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 2, "")
+			if c.fault != nil {
+				c.fault(r)
+			}
+			for range 4 { // whichever node is drawn first
+				ctx, cancel := context.WithTimeout(t.Context(), c.deadline)
+				begin := time.Now()
+				var err error
+				if c.statement == write {
+					_, err = r.client.ExecuteUpdate(ctx, c.statement)
+				} else {
+					_, err = r.query(ctx, c.statement)
+				}
+				took := time.Since(begin)
+				cancel()
+				if got := final(err); !slices.Contains(c.want, got) {
+					t.Fatalf("final answer %q (%v), want one of %q", got, err, c.want)
+				}
+				if took > c.within {
+					t.Errorf("answered after %v, want within %v", took, c.within)
+				}
+			}
+			ran := 0
+			for _, s := range r.seen(c.statement) {
+				if s.Ran {
+					ran++
+				}
+			}
+			if ran > 4*c.ran {
+				t.Errorf("ran %d times in 4 queries, at most %d each", ran, c.ran)
+			}
+		})
+	}
+}
+
+func TestDrainWhileALookupIsInFlightAndOthersWait(t *testing.T) {
+	for _, grace := range []string{"2s", "500ms"} {
+		t.Run(grace, func(t *testing.T) {
+			r := newRig(t, 1, `, "limits": {"drain_grace": "`+grace+`"}`)
+			const n = 60 // more than the node has room for: some wait
+			done := make(chan string, n)
+			for range n {
+				go func() {
+					ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+					defer cancel()
+					_, err := r.query(ctx, "SELECT 1 /* work_ms=800 cost_ms=800 */")
+					done <- final(err)
+				}()
+			}
+			if err := r.nodes[0].Await(t.Context(), func(s []standin.Seen) bool { return len(s) >= 4 }); err != nil {
+				t.Fatal(err)
+			}
+			told := time.Now()
+			r.list(func(_ int, n *fleet.Node) { n.State = choice.Draining })
+			finals := map[string]int{}
+			for range n {
+				finals[<-done]++
+			}
+			if finals["served"] == 0 || finals["served"] == n || finals["served"]+finals["refused OVERLOADED"] != n {
+				t.Errorf("final answers: %v, want some served and all others refused", finals)
+			}
+			span, _ := time.ParseDuration(grace)
+			for _, s := range r.nodes[0].Seen() {
+				if late := s.At.Sub(told); late > span {
+					t.Errorf("an attempt reached the node %v after its drain was told", late)
+				}
+			}
+		})
+	}
+}
+
+func TestTheNodeListIsOutOfReach(t *testing.T) {
+	t.Run("from the start", func(t *testing.T) {
+		r := newRigWith(t, 1, func(string) string { return `{"eds": {"address": "127.0.0.1:1", "cluster": "nodes"}}` }, "")
+		ctx, cancel := context.WithTimeout(t.Context(), time.Second)
+		defer cancel()
+		if _, err := r.query(ctx, "SELECT 1"); final(err) != "refused OVERLOADED" {
+			t.Errorf("final answer %q", final(err))
+		}
+	})
+	t.Run("later, then malformed, then back", func(t *testing.T) {
+		c := standin.NewControl("nodes")
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer c.Stop()
+		r := newRigWith(t, 2, func(string) string { return `{"eds": {"address": "` + c.Address() + `", "cluster": "nodes"}}` }, "")
+		rows := []standin.Listed{{Name: "node-0", Address: r.nodes[0].Address}}
+		c.Set(rows, "")
+		served := func(what string) {
+			t.Helper()
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			if _, err := r.query(ctx, "SELECT 1"); err != nil {
+				t.Errorf("%s: %v", what, err)
+			}
+		}
+		served("at first")
+		c.Set(rows, "malformed")
+		for len(c.Nacks()) == 0 { // the stream answers each list
+			served("while a malformed list is told")
+		}
+		c.Stop()
+		served("while the list is out of reach")
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		c.Set([]standin.Listed{{Name: "node-1", Address: r.nodes[1].Address}}, "")
+		for begin := time.Now(); len(r.nodes[1].Seen()) == 0; {
+			served("while the new list comes")
+			if time.Since(begin) > 10*time.Second {
+				t.Fatal("the new list was not taken up")
+			}
+		}
+	})
+}
+
+func TestAnAnswerIsHeldBackByASlowReader(t *testing.T) {
+	r := newRig(t, 1, "")
+	const rows, each = 64 << 10, 1 << 10 // 64 MB
+	ctx, cancel := context.WithTimeout(t.Context(), 30*time.Second)
+	defer cancel()
+	info, err := r.client.Execute(ctx, "SELECT 1 /* class=report rows=65536 row_bytes=1024 */")
+	if err != nil {
+		t.Fatal(err)
+	}
+	reader, err := r.client.DoGet(ctx, info.Endpoint[0].Ticket)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer reader.Release()
+	// While nobody reads, the node gets rid of what fits in the windows on the way, and of no more.
+	out := func() int { return r.nodes[0].Seen()[0].Rows }
+	last, still := -1, 0
+	for still < 20 {
+		if now := out(); now != last {
+			last, still = now, 0
+		} else {
+			still++
+		}
+		<-time.After(10 * time.Millisecond)
+	}
+	if last*each > 8<<20 {
+		t.Errorf("the node handed out %d MB to a client that does not read", last*each>>20)
+	}
+	got := int64(0)
+	for reader.Next() {
+		got += reader.RecordBatch().NumRows()
+	}
+	if got != rows || reader.Err() != nil {
+		t.Errorf("%d rows of %d, %v", got, rows, reader.Err())
+	}
+}
+
+func TestTenThousandAtOnce(t *testing.T) {
+	r := newRig(t, 2, "")
+	const n = 10000
+	type end struct {
+		final string
+		took  time.Duration
+	}
+	done := make(chan end, n)
+	ctx, cancel := context.WithTimeout(t.Context(), 8*time.Second)
+	defer cancel()
+	for range n {
+		go func() {
+			begin := time.Now()
+			_, err := r.query(ctx, "SELECT 1 /* work_ms=40 cost_ms=40 */")
+			if status.Code(err) == codes.ResourceExhausted && !hasComeBack(err) {
+				done <- end{"refused without a come-back time", 0}
+				return
+			}
+			done <- end{final(err), time.Since(begin)}
+		}()
+	}
+	finals := map[string]int{}
+	for range n {
+		finals[(<-done).final]++
+	}
+	if finals["served"] == 0 || finals["refused OVERLOADED"] == 0 || finals["served"]+finals["refused OVERLOADED"] != n {
+		t.Errorf("final answers: %v, want some served, all others refused with a come-back time", finals)
+	}
+}
--- /dev/null
+++ b/fleet/dial_other.go
@@ -0,0 +1,11 @@
+//go:build !linux
+
+package fleet
+
+import (
+	"syscall"
+	"time"
+)
+
+// limitUnacknowledged does nothing here: the system's own limit holds.
+func limitUnacknowledged(syscall.RawConn, time.Duration) error { return nil }
--- a/fleet/eds.go
+++ b/fleet/eds.go
@@ -15,7 +15,6 @@
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"embershunt/choice"
 )
@@ -56,7 +55,7 @@
 	conn, err := grpc.NewClient("passthrough:///"+e.address,
 		grpc.WithTransportCredentials(insecure.NewCredentials()), grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)),
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}))
+		grpc.WithContextDialer(dialTCP))
 	if err != nil {
 		e.fleet.ListFailed(err)
 		return
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -9,7 +9,6 @@
 	"google.golang.org/grpc/backoff"
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
-	"google.golang.org/grpc/keepalive"
 
 	"embershunt/internal/flightwire"
 )
@@ -38,8 +37,7 @@
 		grpc.WithStatsHandler(fateHandler{}),
 		grpc.WithDisableServiceConfig(), grpc.WithDisableRetry(), grpc.WithNoProxy(),
 		grpc.WithIdleTimeout(0),
-		// A node that vanished without a reset is noticed by the ping, not by the next query.
-		grpc.WithKeepaliveParams(keepalive.ClientParameters{Time: 10 * time.Second, Timeout: 3 * time.Second}),
+		grpc.WithContextDialer(dialTCP),
 		grpc.WithConnectParams(grpc.ConnectParams{MinConnectTimeout: time.Second, Backoff: backoff.Config{
 			BaseDelay: 50 * time.Millisecond, Multiplier: 1.6, Jitter: 0.2, MaxDelay: time.Second}}),
 	}
--- a/standin/flight.go
+++ b/standin/flight.go
@@ -117,16 +117,17 @@
 
 func (s *flightServer) query(ctx context.Context, text string) (*arrow.Schema, <-chan flight.StreamChunk, error) {
 	h := parseHints(text)
-	if err := s.node.work(ctx, s.life, s.node.note(ctx, text, false), h); err != nil {
+	seen := s.node.note(ctx, text, false)
+	if err := s.node.work(ctx, s.life, seen, h); err != nil {
 		return nil, nil, err
 	}
 	out := make(chan flight.StreamChunk)
-	go s.rows(ctx, h, out)
+	go s.rows(ctx, h, seen, out)
 	return schemaOf(h), out, nil
 }
 
 // rows makes the answer's batches, with the faults that strike in the middle.
-func (s *flightServer) rows(ctx context.Context, h hints, out chan<- flight.StreamChunk) {
+func (s *flightServer) rows(ctx context.Context, h hints, seen *Seen, out chan<- flight.StreamChunk) {
 	defer close(out)
 	each := 1024
 	if h.bytes > 0 {
@@ -160,6 +161,7 @@
 			return
 		}
 		sent += n
+		s.node.mark(func() { seen.Rows = sent })
 	}
 }
 
--- a/standin/node.go
+++ b/standin/node.go
@@ -44,6 +44,7 @@
 	Statement string
 	Update    bool
 	Ran       bool // its work was done
+	Rows      int  // handed to the transport
 	Cancelled bool // the caller left before the end
 	End       time.Time
 }
@@ -59,6 +60,7 @@
 	life  *life
 	fault Faults
 	seen  []*Seen
+	news  chan struct{} // closed whenever seen changes
 }
 
 // life is one process life of a node.
@@ -73,7 +75,7 @@
 
 // NewNode returns a node that is not started.
 func NewNode(name string, m Model, seed uint64) *Node {
-	return &Node{Name: name, model: m, rng: rand.New(rand.NewPCG(seed, 1))}
+	return &Node{Name: name, model: m, news: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Start brings the node up, at the address it had before if it had one; a cold one starts at part of its speed.
@@ -244,16 +246,34 @@
 	number, _ := strconv.Atoi(first("embershunt-attempt"))
 	s := &Seen{Query: first("embershunt-query"), Attempt: number, Node: n.Name, At: time.Now(), Statement: statement,
 		Update: update}
-	n.mu.Lock()
-	n.seen = append(n.seen, s)
-	n.mu.Unlock()
+	n.mark(func() { n.seen = append(n.seen, s) })
 	return s
 }
 
+// mark changes what was seen and wakes those that await it.
 func (n *Node) mark(change func()) {
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	change()
+	close(n.news)
+	n.news = make(chan struct{})
+}
+
+// Await waits until what the node has seen satisfies good, or ctx ends.
+func (n *Node) Await(ctx context.Context, good func([]Seen) bool) error {
+	for {
+		n.mu.Lock()
+		news := n.news
+		n.mu.Unlock()
+		if good(n.Seen()) {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
 }
 
 // work runs a statement on the machine, or does what the faults say.
