--- /dev/null
+++ b/cmd/embernode/main.go
@@ -0,0 +1,51 @@
+// Command embernode is a stand-in query node: it speaks Flight SQL, shares modelled cores and answers made-up rows. It
+// is for trying a dispatcher out; its costs are a model, not a measurement of any engine.
+package main
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"embershunt/standin"
+)
+
+var cli struct {
+	Listen   string        `short:"l" default:"127.0.0.1:33011" help:"Address, as host:port."`
+	Name     string        `short:"n" default:"node-1" help:"Name, shown in the column \"node\"."`
+	Cores    int           `default:"8" help:"Cores shared."`
+	MemoryMB float64       `name:"memory-mb" default:"16384" help:"Memory granted."`
+	Cold     bool          `help:"Start cold."`
+	ColdFor  time.Duration `default:"15s" help:"Time to warm up."`
+	Seed     uint64        `default:"1" help:"Seed of faults by chance."`
+	Hang     bool          `help:"Take queries and answer none."`
+	Lose     bool          `help:"Do the work and lose the answers."`
+	Full     bool          `help:"Turn all queries away unseen."`
+	Fail     float64       `help:"Share of queries failed at once."`
+	Slow     float64       `help:"Divide the speed by this."`
+	Stall    int           `help:"Stop each answer after this many rows."`
+	Cut      int           `help:"Break each answer off after this many rows."`
+}
+
+// Exit codes: 0 ended by a signal, 1 the address cannot be had, 2 wrong usage.
+func main() {
+	kong.Parse(&cli, kong.Name("embernode"), kong.Description("A stand-in query node. Statements state their cost: "+
+		"/* work_ms=120 threads=1 rows=1000 row_bytes=0 memory_mb=0 */"))
+	n := standin.NewNode(cli.Name, standin.Model{Cores: cli.Cores, MemoryMB: cli.MemoryMB, ColdFor: cli.ColdFor}, cli.Seed)
+	n.Set(standin.Faults{Hang: cli.Hang, Lost: cli.Lose, Full: cli.Full, Fail: cli.Fail, Slow: cli.Slow,
+		StallRow: cli.Stall, CutRow: cli.Cut})
+	if err := n.Start(cli.Listen, cli.Cold); err != nil {
+		fmt.Fprintln(os.Stderr, "embernode:", err)
+		os.Exit(1)
+	}
+	fmt.Println(cli.Name, "serves", n.Address)
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	<-ctx.Done()
+	n.Die()
+}
--- a/config/config.go
+++ b/config/config.go
@@ -10,6 +10,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/crypto/bcrypt"
+
 	"embershunt/choice"
 	"embershunt/classify"
 )
@@ -346,6 +348,14 @@
 		d.wrong("users", fmt.Sprintf("%d users and any_user %v", len(f.Users), f.AnyUser),
 			"either users or any_user: true")
 	}
+	for i, u := range f.Users {
+		if u.Name == "" || strings.Contains(u.Name, ":") {
+			d.wrong(fmt.Sprintf("users[%d].name", i), quoted(u.Name), "a name without a colon")
+		}
+		if _, err := bcrypt.Cost([]byte(u.Bcrypt)); err != nil {
+			d.wrong(fmt.Sprintf("users[%d].bcrypt", i), fmt.Sprintf("%d characters", len(u.Bcrypt)), "a bcrypt hash ($2a$...)")
+		}
+	}
 	c.checkNodes(d, address)
 
 	s := &c.Settings
--- a/config/decode.go
+++ b/config/decode.go
@@ -70,8 +70,8 @@
 
 // wrong notes a mistake at a path; the nearest place known above it is told.
 func (d *decoder) wrong(path, found, allowed string) {
-	if len(d.all) >= mostMistakes {
-		return
+	if len(d.all) >= mostMistakes || slices.ContainsFunc(d.all, func(m Mistake) bool { return m.Field == path && path != "" }) {
+		return // one mistake a field: others mostly follow from it
 	}
 	at, ok := d.places[path]
 	for up := path; !ok && up != ""; at, ok = d.places[up] {
--- /dev/null
+++ b/day/day_test.go
@@ -0,0 +1,119 @@
+package day
+
+import (
+	"log/slog"
+	"os"
+	"strings"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"embershunt/config"
+	"embershunt/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// A short form of the bad day: its first 9 s hold a slow, a failing, a dying and a hanging node.
+func TestBadDayInShort(t *testing.T) {
+	text, err := os.ReadFile("../examples/badday.jsonc")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := Parse("badday.jsonc", text)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Length = config.Duration(9 * time.Second)
+	var kept []Fault
+	for _, f := range s.Faults {
+		f.At, f.For = f.At/2, min(f.For, config.Duration(1500*time.Millisecond))
+		if f.At.D() < 8*time.Second && f.Do != "kill" {
+			kept = append(kept, f)
+		}
+	}
+	s.Faults = kept
+	for i := range s.Clients {
+		s.Clients[i].BurstAt = config.Duration(4 * time.Second)
+	}
+	r, err := Run(t.Context(), s, slog.New(slog.DiscardHandler))
+	if err != nil {
+		t.Fatal(err)
+	}
+	var out strings.Builder
+	r.Print(&out)
+	if r.Broken() || r.Classes[0].Served < r.Classes[0].Asked/2 {
+		t.Errorf("%s", out.String())
+	}
+	for _, x := range r.Rules {
+		if x.Checked == 0 {
+			t.Errorf("nothing to check for rule %s", x.Name)
+		}
+	}
+}
+
+// The judge finds each rule's break in tallies that hold one.
+func TestJudgeFindsBreaks(t *testing.T) {
+	at := func(ms int) time.Time { return time.Unix(1000, 0).Add(time.Duration(ms) * time.Millisecond) }
+	script := &Script{Dispatchers: 1, Config: config.File{
+		Halls: []string{"a", "b"}, Kinds: []config.Kind{{Name: "k", Cores: 4}},
+		Classes: []config.Class{{Name: "plain", Aim: config.Duration(time.Second), Deadline: config.Duration(time.Second)},
+			{Name: "keyed", Aim: config.Duration(time.Second), Deadline: config.Duration(time.Second), InTurn: true, Halls: []string{"b"}}},
+		Limits:  config.Limits{DrainGrace: config.Duration(time.Second), BudgetFree: 1, BudgetSpan: config.Duration(time.Second), ColdFor: config.Duration(time.Second)},
+		AnyUser: true},
+		Nodes:   []NodeGroup{{Count: 1, Hall: "a", Kind: "k"}, {Count: 1, Hall: "b", Kind: "k"}},
+		Clients: []ClientGroup{{Class: "plain"}, {Class: "plain", Update: true}, {Class: "keyed", Keys: 1}}}
+	cfg, err := script.config(0, "127.0.0.1:1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	good := func(serial, group int) *Asked {
+		return &Asked{Serial: serial, Group: group, Key: -1, Sent: at(0), Deadline: at(1000), Ended: at(500), Final: "served"}
+	}
+	seen := func(node string, attempt, ms int) standin.Seen {
+		return standin.Seen{Node: node, Attempt: attempt, At: at(ms), End: at(ms + 100), Ran: true}
+	}
+	cases := []struct {
+		rule   int
+		change func(w *world, a *Asked)
+		group  int
+		seen   []standin.Seen
+	}{
+		{0, func(_ *world, a *Asked) { a.Final = "" }, 0, nil},
+		{0, func(_ *world, a *Asked) { a.Ended = at(1001) }, 0, nil},
+		{0, func(_ *world, a *Asked) { a.Rows = 1 }, 0, nil},
+		{0, nil, 0, []standin.Seen{seen("node-0", 0, 700)}},
+		{1, nil, 1, []standin.Seen{seen("node-0", 0, 1), seen("node-1", 1, 200)}},
+		{1, func(_ *world, a *Asked) { a.Final = "refused" }, 1, []standin.Seen{seen("node-0", 0, 1)}},
+		{3, func(w *world, a *Asked) {
+			w.lists = []restart{{"node-0", at(0)}}
+			a.Work = time.Hour
+		}, 0, []standin.Seen{seen("node-0", 0, 1)}},
+		{5, nil, 2, []standin.Seen{seen("node-0", 0, 1)}},
+		{6, nil, 0, []standin.Seen{seen("node-0", 0, 1), seen("node-0", 1, 2), seen("node-0", 2, 3)}},
+	}
+	for i, c := range cases {
+		w := &world{script: script, hosts: []*host{{cfg: cfg}}, control: standin.NewControl("c"),
+			nodes: []*standin.Node{standin.NewNode("node-0", standin.Model{}, 1), standin.NewNode("node-1", standin.Model{}, 1)}}
+		a := good(0, c.group)
+		if c.change != nil {
+			c.change(w, a)
+		}
+		w.asked = []*Asked{a}
+		all := [][]standin.Seen{c.seen}
+		rules := []Rule{w.oneAnswer(all), w.noEffectTwice(all), w.drains(nil, &Report{}), w.coldNodes(all), w.order(all),
+			w.placement(all), w.budget(all)}
+		for j, r := range rules {
+			if (r.Broken > 0) != (j == c.rule) {
+				t.Errorf("case %d: rule %s broken %d times", i, r.Name, r.Broken)
+			}
+		}
+	}
+	// Order takes two queries.
+	w := &world{script: script, hosts: []*host{{cfg: cfg}}, asked: []*Asked{good(0, 2), good(1, 2)}}
+	w.asked[0].Key, w.asked[1].Key = 0, 0
+	if r := w.order([][]standin.Seen{{seen("node-1", 0, 1)}, {seen("node-1", 0, 50)}}); r.Broken != 1 {
+		t.Errorf("order broken %d times, want once", r.Broken)
+	}
+}
--- /dev/null
+++ b/dispatcher/bench_test.go
@@ -0,0 +1,190 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"slices"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/credentials/insecure"
+	"google.golang.org/grpc/metadata"
+
+	"embershunt/internal/flightwire"
+)
+
+// byteProxy passes every call on to one node, unopened: the least that anything between a client and a node can do.
+func byteProxy(b *testing.B, node string) string {
+	conn, err := grpc.NewClient("passthrough:///"+node, grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(flightwire.Codec{}), grpc.MaxCallRecvMsgSize(64<<20)))
+	if err != nil {
+		b.Fatal(err)
+	}
+	forward := func(_ any, s grpc.ServerStream) error {
+		method, _ := grpc.MethodFromServerStream(s)
+		md, _ := metadata.FromIncomingContext(s.Context())
+		c, err := conn.NewStream(metadata.NewOutgoingContext(s.Context(), md),
+			&grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, method)
+		if err != nil {
+			return err
+		}
+		var f flightwire.Frame
+		for {
+			if err := s.RecvMsg(&f); errors.Is(err, io.EOF) {
+				break
+			} else if err != nil {
+				return err
+			}
+			c.SendMsg(&f)
+			f.Free()
+		}
+		c.CloseSend()
+		for {
+			if err := c.RecvMsg(&f); errors.Is(err, io.EOF) {
+				return nil
+			} else if err != nil {
+				return err
+			}
+			if err := s.SendMsg(&f); err != nil {
+				return err
+			}
+			f.Free()
+		}
+	}
+	server := grpc.NewServer(grpc.ForceServerCodecV2(flightwire.Codec{}), grpc.UnknownServiceHandler(forward))
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	go server.Serve(l)
+	b.Cleanup(func() { server.Stop(); conn.Close() })
+	return l.Addr().String()
+}
+
+// paths are three ways from one client to one node.
+func paths(b *testing.B) map[string]*flightsql.Client {
+	r := newRig(b, 1, `, "name": "large"`)
+	out := map[string]*flightsql.Client{}
+	for name, address := range map[string]string{"direct": r.nodes[0].Address, "proxy": byteProxy(b, r.nodes[0].Address),
+		"dispatcher": r.d.Address()} {
+		c, err := flightsql.NewClient(address, nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()),
+			grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Cleanup(func() { c.Close() })
+		out[name] = c
+	}
+	return out
+}
+
+func runQuery(b *testing.B, c *flightsql.Client, statement string) {
+	info, err := c.Execute(context.Background(), statement)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	reader, err := c.DoGet(context.Background(), info.Endpoint[0].Ticket)
+	if err != nil {
+		b.Error(err)
+		return
+	}
+	for reader.Next() {
+	}
+	if reader.Err() != nil {
+		b.Error(reader.Err())
+	}
+	reader.Release()
+}
+
+const small = "SELECT 1 /* work_ms=0 rows=10 cost_ms=1 */"
+
+// BenchmarkSmall compares small queries, 8 at a time: an iteration is 64 queries on each path in turn. Reported are
+// throughput as a share of the proxy's and of the direct way's, and the median time of one query alone.
+func BenchmarkSmall(b *testing.B) {
+	p := paths(b)
+	took := map[string]time.Duration{}
+	batch := func(name string) {
+		var wg sync.WaitGroup
+		begin := time.Now()
+		for range 8 {
+			wg.Add(1)
+			go func() {
+				defer wg.Done()
+				for range 8 {
+					runQuery(b, p[name], small)
+				}
+			}()
+		}
+		wg.Wait()
+		took[name] += time.Since(begin)
+	}
+	for name := range p {
+		batch(name)
+	}
+	clear(took)
+	for b.Loop() {
+		for _, name := range []string{"direct", "proxy", "dispatcher"} {
+			batch(name)
+		}
+	}
+	b.ReportMetric(float64(took["proxy"])/float64(took["dispatcher"]), "of-proxy")
+	b.ReportMetric(float64(took["direct"])/float64(took["dispatcher"]), "of-direct")
+}
+
+// BenchmarkSmallAlone compares the time of one small query at a time, path by path in turn.
+func BenchmarkSmallAlone(b *testing.B) {
+	p := paths(b)
+	times := map[string][]time.Duration{}
+	b.ReportAllocs()
+	for b.Loop() {
+		for _, name := range []string{"direct", "proxy", "dispatcher"} {
+			begin := time.Now()
+			runQuery(b, p[name], small)
+			times[name] = append(times[name], time.Since(begin))
+		}
+	}
+	median := func(name string) float64 {
+		slices.Sort(times[name])
+		return float64(times[name][len(times[name])/2].Microseconds())
+	}
+	b.ReportMetric(median("direct"), "us-direct")
+	b.ReportMetric(median("dispatcher")-median("proxy"), "us-over-proxy")
+	b.ReportMetric(median("dispatcher")-median("direct"), "us-over-direct")
+}
+
+// BenchmarkLarge compares answers of 64 MB.
+func BenchmarkLarge(b *testing.B) {
+	p := paths(b)
+	took := map[string]time.Duration{}
+	const large = "SELECT 1 /* work_ms=0 rows=65536 row_bytes=1024 class=report cost_ms=1 */"
+	for b.Loop() {
+		for _, name := range []string{"direct", "proxy", "dispatcher"} {
+			begin := time.Now()
+			runQuery(b, p[name], large)
+			took[name] += time.Since(begin)
+		}
+	}
+	b.ReportMetric(float64(took["proxy"])/float64(took["dispatcher"]), "of-proxy")
+	b.ReportMetric(float64(took["direct"])/float64(took["dispatcher"]), "of-direct")
+}
+
+// BenchmarkAllocations is what one small query costs on the whole path, client, dispatcher and node in one process,
+// against the same through the byte proxy.
+func BenchmarkAllocations(b *testing.B) {
+	p := paths(b)
+	for _, name := range []string{"direct", "proxy", "dispatcher"} {
+		b.Run(strings.ToLower(name), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				runQuery(b, p[name], small)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/dispatcher/clients_test.go
@@ -0,0 +1,484 @@
+package dispatcher_test
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"fmt"
+	"io"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow"
+	"github.com/apache/arrow-go/v18/arrow/array"
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	_ "github.com/apache/arrow-go/v18/arrow/flight/flightsql/driver"
+	"github.com/apache/arrow-go/v18/arrow/memory"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/credentials/insecure"
+	healthpb "google.golang.org/grpc/health/grpc_health_v1"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/status"
+
+	"embershunt/internal/flightwire"
+	"embershunt/standin"
+)
+
+const long = "SELECT 1 /* work_ms=3000 */"
+
+func anyCancelled(s []standin.Seen) bool {
+	for _, x := range s {
+		if x.Cancelled {
+			return true
+		}
+	}
+	return false
+}
+
+// A client that goes away leaves no work behind.
+func TestClientsThatGoAway(t *testing.T) {
+	started := func(s []standin.Seen) bool { return len(s) > 0 }
+	cases := []struct {
+		name string
+		away func(r *rig, cancel func())
+	}{
+		{"cancels", func(_ *rig, cancel func()) { cancel() }},
+		{"vanishes", func(r *rig, _ func()) { r.client.Close() }},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 1, "")
+			ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+			defer cancel()
+			mine, stop := context.WithCancel(ctx)
+			defer stop()
+			done := make(chan error, 1)
+			go func() {
+				_, err := r.query(mine, long)
+				done <- err
+			}()
+			if err := r.nodes[0].Await(ctx, started); err != nil {
+				t.Fatal(err)
+			}
+			c.away(r, stop)
+			if err := r.nodes[0].Await(ctx, anyCancelled); err != nil {
+				t.Error("the node was not told: ", err)
+			}
+			<-done
+		})
+	}
+	t.Run("calls it off with CancelFlightInfo", func(t *testing.T) {
+		r := newRig(t, 1, "")
+		ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+		defer cancel()
+		info, err := r.client.Execute(ctx, long)
+		if err != nil {
+			t.Fatal(err)
+		}
+		done := make(chan error, 1)
+		go func() {
+			reader, err := r.client.DoGet(ctx, info.Endpoint[0].Ticket)
+			if err == nil {
+				reader.Release()
+			}
+			done <- err
+		}()
+		if err := r.nodes[0].Await(ctx, started); err != nil {
+			t.Fatal(err)
+		}
+		res, err := r.client.CancelFlightInfo(ctx, &flight.CancelFlightInfoRequest{Info: info})
+		if err != nil || res.GetStatus() != flight.CancelStatusCancelling {
+			t.Errorf("%v, %v", res, err)
+		}
+		if got := final(<-done); got != "failed CLIENT_GONE" {
+			t.Errorf("final answer %q", got)
+		}
+	})
+	t.Run("never fetches its ticket", func(t *testing.T) {
+		r := newRig(t, 1, "")
+		for range 100 {
+			if _, err := r.client.Execute(t.Context(), long); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if n := len(r.nodes[0].Seen()); n != 0 {
+			t.Errorf("the node saw %d attempts", n)
+		}
+	})
+	t.Run("a deadline shorter than the way there", func(t *testing.T) {
+		r := newRig(t, 1, "")
+		info, err := r.client.Execute(t.Context(), "SELECT 1")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, d := range []time.Duration{time.Nanosecond, 100 * time.Microsecond, time.Millisecond} {
+			ctx, cancel := context.WithTimeout(t.Context(), d)
+			reader, err := r.client.DoGet(ctx, info.Endpoint[0].Ticket)
+			if err == nil {
+				reader.Release()
+			}
+			cancel()
+			if err == nil {
+				continue // it may be that quick
+			}
+			if code := status.Code(err); code != codes.DeadlineExceeded && code != codes.ResourceExhausted {
+				t.Errorf("%v: %v", d, err)
+			}
+		}
+		if _, err := r.query(t.Context(), "SELECT 1"); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+// raw makes a call with bytes of one's own.
+func raw(ctx context.Context, conn *grpc.ClientConn, method string, messages ...[]byte) error {
+	s, err := conn.NewStream(ctx, &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}, method)
+	if err != nil {
+		return err
+	}
+	for _, m := range messages {
+		if err := s.SendMsg(flightwire.NewFrame(m)); err != nil {
+			break
+		}
+	}
+	s.CloseSend()
+	for {
+		var f flightwire.Frame
+		if err := s.RecvMsg(&f); err != nil {
+			if errors.Is(err, io.EOF) {
+				return nil
+			}
+			return err
+		}
+		f.Free()
+	}
+}
+
+// What is wrong with a call gets a clear status, and nobody else notices.
+func TestMalformedCalls(t *testing.T) {
+	r := newRig(t, 1, "")
+	conn, err := grpc.NewClient("passthrough:///"+r.d.Address(), grpc.WithTransportCredentials(insecure.NewCredentials()),
+		grpc.WithDefaultCallOptions(grpc.ForceCodecV2(flightwire.Codec{})))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	info, err := r.client.Execute(t.Context(), "SELECT 1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	forged := append([]byte(nil), info.Endpoint[0].Ticket.Ticket...)
+	forged[len(forged)-1] ^= 1
+	ticket := func(b []byte) []byte { return flightwire.AppendBytes(nil, 1, b) }
+	query := func(name, text string) []byte { return flightwire.Descriptor(flightwire.StatementCommand(name, text)) }
+	action := func(name string, body []byte) []byte { return flightwire.Action{Type: name, Body: body}.Encode() }
+	garbage := []byte{0xff, 0xff, 0xff, 0xff}
+	cases := []struct {
+		name, method string
+		message      []byte
+		code         codes.Code
+		says         string
+	}{
+		{"garbage as descriptor", flightwire.MethodGetInfo, garbage, codes.InvalidArgument, "FlightDescriptor"},
+		{"a path descriptor", flightwire.MethodGetInfo, []byte{8, 1}, codes.InvalidArgument, "type 1, allowed is 2"},
+		{"garbage as command", flightwire.MethodGetInfo, flightwire.Descriptor(garbage), codes.InvalidArgument, "command"},
+		{"an unknown command", flightwire.MethodGetInfo, query("CommandNobodyKnows", "x"), codes.Unimplemented, "CommandNobodyKnows"},
+		{"an empty statement", flightwire.MethodGetInfo, query("CommandStatementQuery", ""), codes.InvalidArgument, "empty"},
+		{"a statement that is not UTF-8", flightwire.MethodGetInfo, query("CommandStatementQuery", "SELECT '\xff'"), codes.InvalidArgument, "UTF-8"},
+		{"a statement in a transaction", flightwire.MethodGetInfo, flightwire.Descriptor(flightwire.NewCommand("CommandStatementQuery",
+			flightwire.AppendBytes(flightwire.AppendBytes(nil, 1, "SELECT 1"), 2, "tx"))), codes.Unimplemented, "transactions"},
+		{"a forged ticket", flightwire.MethodDoGet, ticket(forged), codes.InvalidArgument, "not made by this service"},
+		{"a ticket of garbage", flightwire.MethodDoGet, ticket(garbage), codes.InvalidArgument, "command"},
+		{"a handle as ticket", flightwire.MethodDoGet, ticket(flightwire.StatementCommand("CommandPreparedStatementQuery", "x")), codes.InvalidArgument, "not known"},
+		{"garbage to DoPut", flightwire.MethodDoPut, garbage, codes.InvalidArgument, "FlightData"},
+		{"an ingest", flightwire.MethodDoPut, flightwire.AppendBytes(nil, 1, query("CommandStatementIngest", "x")), codes.Unimplemented, "not served"},
+		{"an unknown action", flightwire.MethodDoAction, action("Dance", nil), codes.Unimplemented, "served are"},
+		{"a transaction", flightwire.MethodDoAction, action("BeginTransaction", nil), codes.Unimplemented, "bound to one node"},
+		{"a forged handle", flightwire.MethodDoAction, action("ClosePreparedStatement",
+			flightwire.StatementCommand("ActionClosePreparedStatementRequest", "x")), codes.InvalidArgument, "not made by this service"},
+		{"DoExchange", "/" + flightwire.Service + "/DoExchange", nil, codes.Unimplemented, "DoExchange"},
+		{"a hint that names no class", flightwire.MethodDoPut, flightwire.AppendBytes(nil, 1,
+			query("CommandStatementUpdate", "INSERT /* class=nobody */ 1")), codes.InvalidArgument, "lookup, report"},
+		{"a message that is too large", flightwire.MethodGetInfo, make([]byte, 4<<20), codes.ResourceExhausted, "larger than max"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+			defer cancel()
+			err := raw(ctx, conn, c.method, c.message)
+			if status.Code(err) != c.code || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("got %v, want %v with %q", err, c.code, c.says)
+			}
+			if _, err := r.query(ctx, "SELECT 1"); err != nil {
+				t.Errorf("another client was disturbed: %v", err)
+			}
+		})
+	}
+	t.Run("oversized headers", func(t *testing.T) {
+		ctx, cancel := context.WithTimeout(metadata.AppendToOutgoingContext(t.Context(), "x", strings.Repeat("h", 100<<10)), 5*time.Second)
+		defer cancel()
+		if err := raw(ctx, conn, flightwire.MethodGetInfo, query("CommandStatementQuery", "SELECT 1")); err == nil {
+			t.Error("headers of 100 KiB were taken")
+		}
+		if _, err := r.query(t.Context(), "SELECT 1"); err != nil {
+			t.Errorf("another client was disturbed: %v", err)
+		}
+	})
+	t.Run("a statement of 1 MB", func(t *testing.T) {
+		if _, err := r.query(t.Context(), "SELECT '"+strings.Repeat("x", 1<<20)+"'"); err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestPreparedStatements(t *testing.T) {
+	key := strings.Repeat("ab", 32)
+	r := newRig(t, 1, `, "keys": ["`+key+`"]`)
+	other := newRig(t, 1, `, "keys": ["`+key+`"]`)
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	p, err := r.client.Prepare(ctx, "SELECT * FROM policy WHERE id = ?")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if p.DatasetSchema() == nil || p.DatasetSchema().NumFields() != 2 || p.ParameterSchema().NumFields() != 1 {
+		t.Fatalf("schemas %v, %v", p.DatasetSchema(), p.ParameterSchema())
+	}
+	b := array.NewRecordBuilder(memory.DefaultAllocator, p.ParameterSchema())
+	b.Field(0).(*array.Int64Builder).AppendValues([]int64{1, 2, 3}, nil)
+	params := b.NewRecordBatch()
+	p.SetParameters(params)
+	info, err := p.Execute(ctx)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The ticket is taken to another dispatcher with the same key, and twice.
+	for range 2 {
+		reader, err := other.client.DoGet(ctx, info.Endpoint[0].Ticket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows := int64(0)
+		for reader.Next() {
+			rows += reader.RecordBatch().NumRows()
+		}
+		reader.Release()
+		if rows != 3 { // the stand-in answers with a row for each row of parameters
+			t.Errorf("%d rows, want 3", rows)
+		}
+	}
+	u, err := r.client.Prepare(ctx, "INSERT INTO policy VALUES (?)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s := u.DatasetSchema(); s != nil && s.NumFields() > 0 {
+		t.Errorf("an update has the schema %v", s)
+	}
+	u.SetParameters(params)
+	if n, err := u.ExecuteUpdate(ctx); err != nil || n != 3 {
+		t.Errorf("update: %d, %v", n, err)
+	}
+	if err := u.Close(ctx); err != nil {
+		t.Error(err)
+	}
+	// What a node said of a statement is kept: a second one asks nobody, even with all nodes gone.
+	r.nodes[0].Die()
+	if _, err := r.client.Prepare(ctx, "INSERT INTO policy VALUES (?)"); err != nil {
+		t.Error(err)
+	}
+}
+
+// arrow-go's database/sql driver sends Basic with every call and prepares what it runs.
+func TestDatabaseSQLDriverWithAPassword(t *testing.T) {
+	// bcrypt of "geheim" at its least cost
+	r := newRig(t, 1, `, "users": [{"name": "pobocka", "bcrypt": "`+hashOf(t, "geheim")+`"}]`)
+	open := func(password string) *sql.DB {
+		db, err := sql.Open("flightsql", fmt.Sprintf("flightsql://pobocka:%s@%s?timeout=5s", password, r.d.Address()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		return db
+	}
+	db := open("geheim")
+	defer db.Close()
+	rows, err := db.QueryContext(t.Context(), "SELECT * FROM policy /* rows=4 */")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := 0
+	for rows.Next() {
+		var node string
+		var row int64
+		if err := rows.Scan(&node, &row); err != nil || row != int64(n) {
+			t.Fatalf("row %d: %d %v", n, row, err)
+		}
+		n++
+	}
+	if n != 4 || rows.Err() != nil {
+		t.Errorf("%d rows, %v", n, rows.Err())
+	}
+	wrong := open("falsch")
+	defer wrong.Close()
+	if _, err := wrong.QueryContext(t.Context(), "SELECT 1"); err == nil || !strings.Contains(err.Error(), "password is wrong") {
+		t.Errorf("a wrong password: %v", err)
+	}
+	// Handshake gives a token that does without the password.
+	ctx, err := r.client.Client.AuthenticateBasicToken(t.Context(), "pobocka", "geheim")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := r.query(ctx, "SELECT 1"); err != nil {
+		t.Error(err)
+	}
+	if _, err := r.query(t.Context(), "SELECT 1"); status.Code(err) != codes.Unauthenticated {
+		t.Errorf("without a word of who it is: %v", err)
+	}
+}
+
+func TestWhatADriverAsksOnConnecting(t *testing.T) {
+	r := newRig(t, 1, `, "rules": [{"name": "by option", "option": "kind", "value": "^heavy$", "class": "report"}]`)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	count := func(info *flight.FlightInfo, err error) (rows int64) {
+		t.Helper()
+		if err != nil {
+			t.Fatal(err)
+		}
+		reader, err := r.client.DoGet(ctx, info.Endpoint[0].Ticket)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer reader.Release()
+		for reader.Next() {
+			rows += reader.RecordBatch().NumRows()
+		}
+		return rows
+	}
+	if n := count(r.client.GetSqlInfo(ctx, []flightsql.SqlInfo{flightsql.SqlInfoFlightSqlServerName})); n != 1 {
+		t.Errorf("GetSqlInfo: %d rows", n)
+	}
+	if n := count(r.client.GetCatalogs(ctx)); n != 1 {
+		t.Errorf("GetCatalogs: %d rows", n)
+	}
+	if n := count(r.client.GetTableTypes(ctx)); n != 1 {
+		t.Errorf("GetTableTypes: %d rows", n)
+	}
+	s, err := r.client.GetExecuteSchema(ctx, "SELECT 1 /* row_bytes=9 */")
+	if err != nil {
+		t.Fatal(err)
+	}
+	schema, err := flight.DeserializeSchema(s.Schema, memory.DefaultAllocator)
+	if err != nil || !schema.Equal(arrow.NewSchema(append(schema.Fields()[:2:2],
+		arrow.Field{Name: "payload", Type: arrow.BinaryTypes.Binary}), nil)) {
+		t.Errorf("schema %v, %v", schema, err)
+	}
+	// Session options live in the cookie; any dispatcher with the key reads them.
+	withCookies, err := flightsql.NewClient(r.d.Address(), nil, []flight.ClientMiddleware{flight.NewClientCookieMiddleware()},
+		grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer withCookies.Close()
+	set, err := flight.NewSessionOptionValue("heavy")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := withCookies.SetSessionOptions(ctx, &flight.SetSessionOptionsRequest{
+		SessionOptions: map[string]*flight.SessionOptionValue{"kind": &set}}); err != nil {
+		t.Fatal(err)
+	}
+	got, err := withCookies.GetSessionOptions(ctx, &flight.GetSessionOptionsRequest{})
+	if err != nil || got.GetSessionOptions()["kind"].GetStringValue() != "heavy" {
+		t.Errorf("session options %v, %v", got, err)
+	}
+	if _, err := withCookies.CloseSession(ctx, &flight.CloseSessionRequest{}); err != nil {
+		t.Error(err)
+	}
+	if got, err = withCookies.GetSessionOptions(ctx, &flight.GetSessionOptionsRequest{}); err != nil || len(got.GetSessionOptions()) != 0 {
+		t.Errorf("after the end of the session: %v, %v", got, err)
+	}
+}
+
+func TestDrainOfTheDispatcher(t *testing.T) {
+	r := newRig(t, 1, "")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done := make(chan string, 1)
+	go func() {
+		_, err := r.query(ctx, "SELECT 1 /* work_ms=400 */")
+		done <- final(err)
+	}()
+	if err := r.nodes[0].Await(ctx, func(s []standin.Seen) bool { return len(s) == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	conn, err := grpc.NewClient("passthrough:///"+r.d.Address(), grpc.WithTransportCredentials(insecure.NewCredentials()))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	watch, err := healthpb.NewHealthClient(conn).Watch(ctx, &healthpb.HealthCheckRequest{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if s, err := watch.Recv(); err != nil || s.GetStatus() != healthpb.HealthCheckResponse_SERVING {
+		t.Fatalf("health at first: %v, %v", s, err)
+	}
+	r.d.Drain()
+	if s, err := watch.Recv(); err != nil || s.GetStatus() != healthpb.HealthCheckResponse_NOT_SERVING {
+		t.Errorf("health while draining: %v, %v", s, err)
+	}
+	if _, err := r.query(ctx, "SELECT 2"); final(err) != "refused DISPATCHER_STOPS" {
+		t.Errorf("a new query: %v", err)
+	}
+	if got := <-done; got != "served" {
+		t.Errorf("the query held: %q", got)
+	}
+	if err := <-r.ended; err != nil {
+		t.Errorf("Run: %v", err)
+	}
+	r.ended <- nil // for the clean-up
+}
+
+func TestKilledMidLoadAndStartedAgain(t *testing.T) {
+	r := newRig(t, 1, "")
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	done := make(chan error, 10)
+	for range 10 {
+		go func() {
+			_, err := r.query(ctx, long)
+			done <- err
+		}()
+	}
+	if err := r.nodes[0].Await(ctx, func(s []standin.Seen) bool { return len(s) >= 5 }); err != nil {
+		t.Fatal(err)
+	}
+	address := r.d.Address()
+	r.d.Kill()
+	r.cancel()
+	<-r.ended
+	r.ended <- nil // for the clean-up
+	if err := r.nodes[0].Await(ctx, func(s []standin.Seen) bool {
+		for _, x := range s {
+			if !x.Cancelled && !x.Ran {
+				return false
+			}
+		}
+		return true
+	}); err != nil {
+		t.Error("nodes were not told: ", err)
+	}
+	for range 10 {
+		if err := <-done; err == nil {
+			t.Error("served by a dead dispatcher")
+		}
+	}
+	r.start(address)
+	if _, err := r.query(ctx, "SELECT 1"); err != nil {
+		t.Errorf("the one started again: %v", err)
+	}
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -8,6 +8,7 @@
 	"testing"
 
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"golang.org/x/crypto/bcrypt"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/credentials/insecure"
@@ -21,7 +22,8 @@
 
 // rig is a dispatcher with stand-in nodes on loopback.
 type rig struct {
-	t      *testing.T
+	t      testing.TB
+	cfg    *config.Config
 	d      *dispatcher.Dispatcher
 	nodes  []*standin.Node
 	client *flightsql.Client
@@ -30,8 +32,7 @@
 }
 
 const rigConfig = `{
-  "name": "rig", "any_user": true, "listen": {"flightsql": "127.0.0.1:0"},
-  "kinds": [{"name": "standin", "cores": 8, "memory_mb": 16384}],
+  "listen": {"flightsql": "127.0.0.1:0"},
   "classes": [
     {"name": "lookup", "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s"},
     {"name": "report", "worth": 10, "aim": "2s", "deadline": "15s", "threads": 4, "late_worth": 0.4}
@@ -41,18 +42,22 @@
 }`
 
 // newRig starts everything; more is put into the configuration.
-func newRig(t *testing.T, nodes int, more string) *rig {
+func newRig(t testing.TB, nodes int, more string) *rig {
 	t.Helper()
 	return newRigWith(t, nodes, func(rows string) string { return `{"list": [` + rows + `]}` }, more)
 }
 
 // newRigWith has its node list from where source says, given the rows of a list.
-func newRigWith(t *testing.T, nodes int, source func(rows string) string, more string) *rig {
+func newRigWith(t testing.TB, nodes int, source func(rows string) string, more string) *rig {
 	t.Helper()
 	r := &rig{t: t, ended: make(chan error, 1)}
+	cores := 8
+	if strings.Contains(more, `"large"`) {
+		cores = 64
+	}
 	var rows []string
 	for i := range nodes {
-		n := standin.NewNode(fmt.Sprintf("node-%d", i), standin.Model{}, uint64(i))
+		n := standin.NewNode(fmt.Sprintf("node-%d", i), standin.Model{Cores: cores}, uint64(i))
 		if err := n.Start("127.0.0.1:0", false); err != nil {
 			t.Fatal(err)
 		}
@@ -60,25 +65,49 @@
 		r.nodes = append(r.nodes, n)
 		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q}`, n.Name, n.Address))
 	}
+	more += fmt.Sprintf(`, "kinds": [{"name": "standin", "cores": %d, "memory_mb": 16384}]`, cores)
+	if !strings.Contains(more, `"users"`) {
+		more += `, "any_user": true`
+	}
 	cfg, err := config.Parse("rig", fmt.Appendf(nil, rigConfig, source(strings.Join(rows, ",")), more))
 	if err != nil {
 		t.Fatal(err)
 	}
-	if r.d, err = dispatcher.New(cfg, dispatcher.Options{Seed: 7}); err != nil {
-		t.Fatal(err)
-	}
-	ctx, cancel := context.WithCancel(t.Context())
-	r.cancel = cancel
-	go func() { r.ended <- r.d.Run(ctx) }()
+	r.cfg = cfg
+	r.start("")
 	r.client = r.connect()
 	t.Cleanup(func() {
 		r.client.Close()
-		cancel()
+		r.cancel()
 		<-r.ended
 	})
 	return r
 }
 
+// start runs a dispatcher, at an address if one is given.
+func (r *rig) start(address string) {
+	r.t.Helper()
+	if address != "" {
+		r.cfg.File.Listen.FlightSQL = address
+		<-r.ended // of the one before
+	}
+	var err error
+	if r.d, err = dispatcher.New(r.cfg, dispatcher.Options{Seed: 7}); err != nil {
+		r.t.Fatal(err)
+	}
+	ctx, cancel := context.WithCancel(r.t.Context())
+	r.cancel = cancel
+	go func() { r.ended <- r.d.Run(ctx) }()
+}
+
+func hashOf(t testing.TB, password string) string {
+	h, err := bcrypt.GenerateFromPassword([]byte(password), bcrypt.MinCost)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return string(h)
+}
+
 func (r *rig) connect() *flightsql.Client {
 	c, err := flightsql.NewClient(r.d.Address(), nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -217,17 +217,7 @@
 	}
 	t.conn = conn
 	ctx = context.WithValue(ctx, fateKey{}, &t.fate)
-	ctx = metadata.AppendToOutgoingContext(ctx, t.f.opt.Headers...)
-	ctx = metadata.AppendToOutgoingContext(ctx, t.call.Headers...)
-	ctx = metadata.AppendToOutgoingContext(ctx, flightwire.HeaderQuery, t.a.Query.ID,
-		flightwire.HeaderAttempt, strconv.Itoa(t.a.N))
-	if t.a.HasTerms {
-		ctx = metadata.AppendToOutgoingContext(ctx, flightwire.HeaderPriority, strconv.Itoa(t.a.Priority))
-		if t.a.MemoryMB > 0 {
-			ctx = metadata.AppendToOutgoingContext(ctx, flightwire.HeaderMemory,
-				strconv.FormatFloat(t.a.MemoryMB, 'f', 0, 64))
-		}
-	}
+	ctx = metadata.NewOutgoingContext(ctx, t.headers())
 	command, params := t.call.Command, [][]byte(nil)
 	if t.call.Params != nil {
 		if command, params, err = t.bind(ctx); err != nil {
@@ -247,6 +237,23 @@
 	return nil, fmt.Errorf("fleet: unknown kind of call %d", t.call.Kind)
 }
 
+// headers are the call headers of the attempt, the same at each of its calls.
+func (t *attempt) headers() metadata.MD {
+	md := metadata.MD{flightwire.HeaderQuery: {t.a.Query.ID}, flightwire.HeaderAttempt: {strconv.Itoa(t.a.N)}}
+	if t.a.HasTerms {
+		md[flightwire.HeaderPriority] = []string{strconv.Itoa(t.a.Priority)}
+		if t.a.MemoryMB > 0 {
+			md[flightwire.HeaderMemory] = []string{strconv.FormatFloat(t.a.MemoryMB, 'f', 0, 64)}
+		}
+	}
+	for _, pairs := range [][]string{t.f.opt.Headers, t.call.Headers} {
+		for i := 0; i+1 < len(pairs); i += 2 {
+			md.Append(pairs[i], pairs[i+1])
+		}
+	}
+	return md
+}
+
 // unary makes one call with one answer.
 func (t *attempt) unary(ctx context.Context, method string, request []byte) ([]byte, error) {
 	var answer flightwire.Frame
--- a/front/flightsql/statement.go
+++ b/front/flightsql/statement.go
@@ -3,6 +3,7 @@
 import (
 	"encoding/binary"
 	"errors"
+	"fmt"
 	"io"
 	"math/rand/v2"
 	"time"
@@ -160,7 +161,7 @@
 	}
 	ticket, err := flightwire.Field(request, 1)
 	if err != nil {
-		return malformed(err)
+		return malformed(fmt.Errorf("Ticket: %w", err))
 	}
 	cmd, err := flightwire.ParseCommand(ticket)
 	if err != nil {
@@ -209,7 +210,7 @@
 	}
 	descriptor, err := flightwire.Field(first, 1)
 	if err != nil {
-		return malformed(err)
+		return malformed(fmt.Errorf("FlightData: %w", err))
 	}
 	cmd, err := f.described(descriptor)
 	if err != nil {
--- /dev/null
+++ b/internal/flightwire/frame_test.go
@@ -0,0 +1,90 @@
+package flightwire
+
+import (
+	"bytes"
+	"strings"
+	"testing"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"google.golang.org/grpc/mem"
+	"google.golang.org/protobuf/proto"
+)
+
+// split lays b out in buffers of n bytes, as the transport may.
+func split(b []byte, n int) *Frame {
+	f := &Frame{}
+	for len(b) > 0 {
+		k := min(n, len(b))
+		f.buffers = append(f.buffers, mem.SliceBuffer(b[:k]))
+		b = b[k:]
+	}
+	return f
+}
+
+func TestEnvelope(t *testing.T) {
+	good, err := proto.Marshal(&flight.FlightData{DataHeader: make([]byte, 300), AppMetadata: []byte("m"),
+		DataBody: make([]byte, 5000)})
+	if err != nil {
+		t.Fatal(err)
+	}
+	cases := []struct {
+		name  string
+		bytes []byte
+		want  Envelope
+		wrong string
+	}{
+		{"a record batch", good, Envelope{Header: 300, Metadata: 1, Body: 5000}, ""},
+		{"nothing", nil, Envelope{}, ""},
+		{"an unknown field", append([]byte{0x28, 7}, good...), Envelope{Header: 300, Metadata: 1, Body: 5000}, ""},
+		{"cut in the body", good[:len(good)-1], Envelope{}, "field 1000"},
+		{"cut in a tag", append(good[:len(good):len(good)], 0x80), Envelope{}, "ends inside"},
+		{"a group", []byte{0x0b}, Envelope{}, "wire type 3"},
+		{"field 0", []byte{0x00, 0x01}, Envelope{}, "field number 0"},
+		{"an endless varint", bytes.Repeat([]byte{0x80}, 11), Envelope{}, "more than ten"},
+		{"a length past all", []byte{0x12, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x01}, Envelope{}, "ends inside"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			for _, n := range []int{1, 7, 1 << 20} {
+				got, err := split(c.bytes, n).Envelope()
+				if c.wrong != "" {
+					if err == nil || !strings.Contains(err.Error(), c.wrong) {
+						t.Errorf("buffers of %d: error %v, want one with %q", n, err, c.wrong)
+					}
+				} else if err != nil || got != c.want {
+					t.Errorf("buffers of %d: %+v, %v, want %+v", n, got, err, c.want)
+				}
+			}
+		})
+	}
+}
+
+// What our parser takes, protobuf takes too, with the same lengths; it never reads past the end.
+func FuzzEnvelope(f *testing.F) {
+	f.Add([]byte{0x12, 1, 'h', 0xc2, 0x3e, 2, 'b', 'b'}, 3)
+	f.Add([]byte{0x0a, 2, 8, 2}, 1)
+	f.Fuzz(func(t *testing.T, b []byte, n int) {
+		e, err := split(b, max(1, n)).Envelope()
+		var d flight.FlightData
+		if err != nil || proto.Unmarshal(b, &d) != nil {
+			return
+		}
+		if len(d.DataBody) != e.Body || len(d.DataHeader) != e.Header || len(d.AppMetadata) != e.Metadata {
+			t.Errorf("lengths %+v, protobuf has %d, %d, %d", e, len(d.DataHeader), len(d.AppMetadata), len(d.DataBody))
+		}
+	})
+}
+
+func FuzzCommand(f *testing.F) {
+	f.Add(StatementCommand("CommandStatementQuery", "SELECT 1"))
+	f.Add(FlightInfo([]byte("s"), Descriptor(nil), []byte("t"), 9))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		if c, err := ParseCommand(b); err == nil {
+			ParseStatement(c.Body, false)
+		}
+		ParseDescriptor(b)
+		FirstTicket(b)
+		ParseAction(b)
+		Uint32s(b, 1)
+	})
+}
