Tests: a node that dies while a query runs, a change of priority to what runs

Seen: a read is made again elsewhere and served, an update is failed with one attempt; the node's job has the new priority before it ends.

--- a/dispatcher/nodes_test.go
+++ b/dispatcher/nodes_test.go
@@ -261,3 +261,68 @@
 		t.Errorf("final answers: %v, want some served, all others refused with a come-back time", finals)
 	}
 }
+
+// The connection breaks after the request was written: it may have run. A read is made again elsewhere, an update not.
+func TestANodeDiesWhileAQueryRuns(t *testing.T) {
+	for _, c := range []struct{ statement, want string }{
+		{"SELECT 1 /* work_ms=300 */", "served"},
+		{"INSERT INTO t VALUES (1) /* work_ms=300 */", "failed ATTEMPT_FAILED"},
+	} {
+		t.Run(c.want, func(t *testing.T) {
+			r := newRig(t, 2, "")
+			ctx, cancel := context.WithTimeout(t.Context(), 4*time.Second)
+			defer cancel()
+			done := make(chan string, 1)
+			go func() {
+				var err error
+				if c.want == "served" {
+					_, err = r.query(ctx, c.statement)
+				} else {
+					_, err = r.client.ExecuteUpdate(ctx, c.statement)
+				}
+				done <- final(err)
+			}()
+			for len(r.seen(c.statement)) == 0 {
+				if ctx.Err() != nil {
+					t.Fatal("no node saw it")
+				}
+				<-time.After(time.Millisecond)
+			}
+			for _, n := range r.nodes {
+				if len(n.Seen()) > 0 {
+					n.Die()
+				}
+			}
+			if got := <-done; got != c.want {
+				t.Errorf("final answer %q, want %q", got, c.want)
+			}
+			if n := len(r.seen(c.statement)); (n > 1) != (c.want == "served") {
+				t.Errorf("%d attempts", n)
+			}
+		})
+	}
+}
+
+// A change of priority reaches what runs.
+func TestTermsOfWhatRuns(t *testing.T) {
+	r := newRig(t, 1, "")
+	done := make(chan error, 1)
+	go func() {
+		_, err := r.query(t.Context(), "SELECT 1 /* work_ms=400 */")
+		done <- err
+	}()
+	if err := r.nodes[0].Await(t.Context(), func(s []standin.Seen) bool { return len(s) == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	id := r.nodes[0].Seen()[0].Query
+	r.d.Fleet().Terms(id, 64, 3)
+	for priority := -1; priority != 3; priority = r.nodes[0].Priority(id) {
+		if len(done) > 0 {
+			t.Fatal("it ended before its priority was changed")
+		}
+		<-time.After(time.Millisecond)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
--- a/standin/node.go
+++ b/standin/node.go
@@ -322,3 +322,21 @@
 	}
 	return nil
 }
+
+// Priority is that of a query that runs; -1 where it does not.
+func (n *Node) Priority(query string) int {
+	n.mu.Lock()
+	v := n.life
+	n.mu.Unlock()
+	if v == nil {
+		return -1
+	}
+	v.machine.mu.Lock()
+	defer v.machine.mu.Unlock()
+	for _, j := range v.machine.jobs {
+		if j.id == query {
+			return j.priority
+		}
+	}
+	return -1
+}
