Settings change in a running dispatcher, between two steps, with all that is on the books

Groundwork for streamed configuration. Weighed: rebuilding the gateway, two gateways side by side, a change in place. In place it is: order, budget, cold stores, drains and the list are counted in one gateway, so nothing has to be counted over two. choice/change.go decides nothing and renumbers; a request that is open keeps the class it was taken under where that class's rules differ now. Queries classified by an older version get the numbers in force; one whose class is gone is refused.

Seen: tests of the books over a change (order, budget, drains, threads, learning), of changes that are turned down whole, of queries on their way. Policy files untouched.

--- /dev/null
+++ b/choice/change.go
@@ -0,0 +1,121 @@
+package choice
+
+import (
+	"fmt"
+	"reflect"
+	"slices"
+)
+
+// This file puts new settings in force in a running gateway. It decides nothing: what was learned and what is on the
+// books (order, budget, cold stores, drains, the list) stays, under the new numbers of classes and tenants.
+
+// Change takes new settings between two steps. Classes and Tenants tell for each new one which old one it continues,
+// -1 for none. A request that is open keeps the class it was taken under where its rules differ now. Zones and kinds
+// keep their numbers: a setting may add kinds, never take one away. The error names what cannot change; nothing has
+// changed then.
+func (g *Gateway) Change(s Settings, classes, tenants []int) error {
+	if err := s.validate(); err != nil {
+		return err
+	}
+	if len(classes) != len(s.Classes) || len(tenants) != len(s.Tenants) {
+		return fmt.Errorf("choice: Change: %d classes and %d tenants are mapped, there are %d and %d", len(classes),
+			len(tenants), len(s.Classes), len(s.Tenants))
+	}
+	if len(s.Kinds) < len(g.set.Kinds) {
+		return fmt.Errorf("choice: Kinds: %d, there were %d", len(s.Kinds), len(g.set.Kinds))
+	}
+	newClass, err := numbers("Classes", classes, len(g.classes))
+	if err != nil {
+		return err
+	}
+	newTenant, err := numbers("Tenants", tenants, len(g.tenants))
+	if err != nil {
+		return err
+	}
+	open := slices.DeleteFunc(slices.Clone(g.live), func(q *request) bool { return q.done && q.open == 0 })
+	for _, q := range open {
+		if newClass[q.Class] < 0 {
+			return fmt.Errorf("choice: Classes: %q has open requests", g.classes[q.Class].Name)
+		}
+	}
+	s.Peers, s.MaxAttempts = max(s.Peers, 1), max(s.MaxAttempts, 1)
+	old := g.classes
+	g.live = open
+	g.set, g.classes = s, make([]class, len(s.Classes))
+	for i, c := range s.Classes {
+		fresh := class{threads: float64(max(c.Threads, 1)), margin: old[0].margin}
+		if from := classes[i]; from >= 0 {
+			fresh = old[from]
+			fresh.threads = float64(max(c.Threads, 1))
+		}
+		fresh.Class = c
+		g.classes[i] = fresh
+	}
+	for _, q := range open {
+		q.Class = newClass[q.Class]
+		if now := &g.classes[q.Class]; sameRules(q.class.Class, now.Class) {
+			q.class = now
+		}
+		q.Tenant = renumbered(newTenant, q.Tenant)
+	}
+	g.retenant(tenants)
+	for _, e := range g.byID { // each by itself: the order does not matter
+		if e.Kind >= 0 && e.Kind < len(s.Kinds) {
+			e.cores, e.memory = float64(max(s.Kinds[e.Kind].Cores, 1)), s.Kinds[e.Kind].MemoryMB
+		}
+		if cold := e.cold; cold != nil {
+			e.cold = make([]store, len(classes))
+			for i, from := range classes {
+				if from >= 0 && from < len(cold) {
+					e.cold[i] = cold[from]
+				}
+			}
+		}
+	}
+	g.slack = g.patience()
+	return nil
+}
+
+// retenant carries the traffic of tenants over.
+func (g *Gateway) retenant(from []int) {
+	old := g.tenants
+	g.tenants = make([]tenant, len(from))
+	for i, f := range from {
+		if f >= 0 {
+			g.tenants[i] = old[f]
+		}
+		g.tenants[i].allowance = g.set.Tenants[i].Allowance
+	}
+}
+
+// sameRules tells that an open request may go on under a class's new form: all that is counted on the books is equal.
+func sameRules(a, b Class) bool {
+	return a.Threads == b.Threads && a.Effect == b.Effect && a.Group == b.Group && a.Window == b.Window &&
+		a.InTurn == b.InTurn && a.Loads == b.Loads && a.Waits == b.Waits && reflect.DeepEqual(a.Zones, b.Zones) &&
+		reflect.DeepEqual(a.Kinds, b.Kinds)
+}
+
+// numbers turns "which old one" into "which new one", -1 for those that end.
+func numbers(field string, from []int, old int) ([]int, error) {
+	out := make([]int, old)
+	for i := range out {
+		out[i] = -1
+	}
+	for i, f := range from {
+		switch {
+		case f < 0:
+		case f >= old || out[f] >= 0:
+			return nil, fmt.Errorf("choice: %s[%d]: continues %d, which is not there or continued already", field, i, f)
+		default:
+			out[f] = i
+		}
+	}
+	return out, nil
+}
+
+func renumbered(to []int, i int) int {
+	if i < 0 || i >= len(to) {
+		return i
+	}
+	return to[i]
+}
--- /dev/null
+++ b/choice/change_test.go
@@ -0,0 +1,100 @@
+package choice
+
+import (
+	"slices"
+	"testing"
+)
+
+func changeSettings(classes ...Class) Settings {
+	return Settings{Peers: 1, MaxAttempts: 3, CanCancel: true, BudgetFree: 1, BudgetSpan: 5e6, TurnGap: 1e6, DrainGrace: 1e6,
+		Kinds: []Kind{{Cores: 4, MemoryMB: 1000}}, Classes: classes, Tenants: []Tenant{{Name: "a", Allowance: 5}, {Name: "b", Allowance: 5}}}
+}
+
+// What is on the books outlives a change of settings: order, budget, drains, threads in flight, what was learned.
+func TestBooksOutliveAChange(t *testing.T) {
+	plain := Class{Name: "plain", Worth: 1, Aim: 1e6, Deadline: 4e6, Threads: 2}
+	turns := Class{Name: "turns", Worth: 1, Aim: 1e6, Deadline: 4e6, InTurn: true}
+	more := Class{Name: "more", Worth: 5, Aim: 1e6, Deadline: 4e6}
+	g, err := New(1, changeSettings(plain, turns))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Micros(1e9)
+	sent := func(acts []Action) (out []string) {
+		for _, a := range acts {
+			if s, ok := a.(Send); ok {
+				out = append(out, s.ID)
+			}
+		}
+		return out
+	}
+	g.Step(now, []Event{Engines{Whole: true, Rows: []Engine{{ID: "e1"}, {ID: "e2", State: Draining}}}})
+	request := func(id string, class int) Request {
+		return Request{ID: id, Class: class, Cost: 1e4, Key: 7, HasKey: true, Due: now + 4e6}
+	}
+	if got := sent(g.Step(now, []Event{request("p", 0), request("t1", 1), request("t2", 1)})); !slices.Equal(got, []string{"p", "t1"}) {
+		t.Fatalf("sent %v", got)
+	}
+	// Classes swap places, one is new, "plain" takes one thread now; tenant "a" leaves.
+	plain.Threads = 1
+	s := changeSettings(turns, more, plain)
+	s.Tenants = s.Tenants[1:]
+	if err := g.Change(s, []int{1, -1, 0}, []int{1}); err != nil {
+		t.Fatal(err)
+	}
+	if got := sent(g.Step(now+60_000, []Event{request("m", 1)})); !slices.Equal(got, []string{"m"}) {
+		t.Errorf("after the change sent %v: the key must wait for t1, the new class must not", got)
+	}
+	if got := sent(g.Step(now+120_000, []Event{Outcome{ID: "t1", Engine: "e1", Code: OK, Over: true, Took: 10000}})); !slices.Equal(got, []string{"t2"}) {
+		t.Errorf("after t1 sent %v, want t2", got)
+	}
+	// A further attempt made after the change counts in the budget that was begun before it.
+	if got := sent(g.Step(now+180_000, []Event{Outcome{ID: "p", Engine: "e1", Code: Full, Took: 10000}})); !slices.Equal(got, []string{"p"}) {
+		t.Errorf("after p was turned away sent %v", got)
+	}
+	if g.inBudget() {
+		t.Error("the budget of one further attempt has room for a second")
+	}
+	g.Step(now+240_000, []Event{Outcome{ID: "p", Attempt: 1, Engine: "e1", Code: OK, Over: true, Took: 10000},
+		Outcome{ID: "t2", Engine: "e1", Code: OK, Over: true, Took: 10000}, Outcome{ID: "m", Engine: "e1", Code: OK, Over: true, Took: 10000}})
+	if n := g.ownThreads(); n != 0 {
+		t.Errorf("%v threads are left on the books", n)
+	}
+	for _, e := range g.engines {
+		if e.threads != 0 || len(e.open) != 0 {
+			t.Errorf("%s has %v threads, %d attempts on the books", e.ID, e.threads, len(e.open))
+		}
+	}
+	if g.byID["e2"].State != Draining || g.classes[0].taken != 2 || g.classes[2].taken != 1 {
+		t.Errorf("drain or learning lost: %v, %v, %v", g.byID["e2"].State, g.classes[0].taken, g.classes[2].taken)
+	}
+}
+
+func TestAChangeThatCannotBeChangesNothing(t *testing.T) {
+	plain := Class{Name: "plain", Worth: 1, Aim: 1e6, Deadline: 4e6}
+	g, err := New(1, changeSettings(plain))
+	if err != nil {
+		t.Fatal(err)
+	}
+	g.Step(1e9, []Event{Engines{Whole: true, Rows: []Engine{{ID: "e1"}}}, Request{ID: "q", Due: 1e9 + 4e6}})
+	fewer := changeSettings(plain)
+	fewer.Kinds = nil
+	for name, c := range map[string]struct {
+		s       Settings
+		classes []int
+	}{
+		"no classes":            {changeSettings(), nil},
+		"an open class ends":    {changeSettings(plain), []int{-1}},
+		"one continued twice":   {changeSettings(plain, plain), []int{0, 0}},
+		"one that is not there": {changeSettings(plain), []int{3}},
+		"a map too short":       {changeSettings(plain, plain), []int{0}},
+		"a kind is gone":        {fewer, []int{0}},
+	} {
+		if err := g.Change(c.s, c.classes, []int{0, 1}); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+	if len(g.classes) != 1 || g.open["q"].class != &g.classes[0] || len(g.set.Kinds) != 1 {
+		t.Error("something changed")
+	}
+}
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -21,6 +21,8 @@
 	wakeAt   Micros
 	woken    bool // wakeAt is set
 	draining bool
+	numbers  numbering
+	actions  int // of this step
 	events   []choice.Event
 	extra    []choice.Event
 }
@@ -28,6 +30,7 @@
 // decider is what a Core asks: *choice.Gateway, but in tests of what a faulty one may do.
 type decider interface {
 	Step(now Micros, events []choice.Event) []choice.Action
+	Change(s choice.Settings, classes, tenants []int) error
 }
 
 // Observer sees what happened, for metrics, logs and traces. It is called from the loop and must not block.
@@ -48,7 +51,8 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{gateway: g, fleet: f, observe: o, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}}}, nil
+	return &Core{gateway: g, fleet: f, observe: o, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}},
+		numbers: newNumbering(s)}, nil
 }
 
 // Held is the number of queries that have no final answer yet.
@@ -89,8 +93,13 @@
 			c.FailAll(now, ReasonInternal)
 		}
 	}()
-	c.events = c.events[:0]
+	c.events, c.actions = c.events[:0], 0
 	for _, ev := range events {
+		if ch, ok := ev.(Change); ok { // the module hears first of what came before it
+			c.play(now)
+			ch.Done(c.change(ch))
+			continue
+		}
 		c.translate(now, ev)
 	}
 	for e := c.books.overdue(now); e != nil; e = c.books.overdue(now) {
@@ -100,19 +109,23 @@
 		c.events = append(c.events, choice.Alarm{})
 		c.woken = false
 	}
-	actions := 0
+	c.play(now)
+	c.report(len(events), c.actions)
+	return nil
+}
+
+// play steps the module with what was gathered and carries its actions out.
+func (c *Core) play(now Micros) {
 	// What the module asks for may end at once (a send that must not leave): its outcome is told in the same moment.
 	for first := true; first || len(c.events) > 0; first = false {
 		out := c.gateway.Step(now, c.events)
-		actions += len(out)
+		c.actions += len(out)
 		c.extra = c.extra[:0]
 		for _, a := range out {
 			c.act(now, a)
 		}
 		c.events = append(c.events[:0], c.extra...)
 	}
-	c.report(len(events), actions)
-	return nil
 }
 
 func (c *Core) report(events, actions int) {
@@ -151,6 +164,8 @@
 		c.turnAway(now, q, ReasonDraining)
 	case c.most > 0 && c.Held() >= c.most:
 		c.turnAway(now, q, ReasonFull)
+	case !c.numbers.renumber(q):
+		c.turnAway(now, q, ReasonClassGone)
 	default:
 		if c.books.take(now, q) == nil {
 			q.Client.Answer(Verdict{Final: Failed, Reason: ReasonInternal})
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -28,6 +28,9 @@
 	return s.say(now, events)
 }
 
+// Change takes everything.
+func (s *scripted) Change(choice.Settings, []int, []int) error { return nil }
+
 // tape is a fleet, an observer and a client that write down what they are asked.
 type tape struct {
 	lines  []string
@@ -309,3 +312,58 @@
 		q.served++
 	}
 }
+
+// A query that was classified by an older version gets the numbers in force; one whose class is gone is refused.
+func TestChangeBetweenSteps(t *testing.T) {
+	log := &tape{}
+	settings := func(classes ...string) choice.Settings {
+		s := choice.Settings{Peers: 1, MaxAttempts: 1, Kinds: []choice.Kind{{Cores: 8}}}
+		for _, c := range classes {
+			s.Classes = append(s.Classes, choice.Class{Name: c, Worth: 1, Aim: 500 * ms, Deadline: 1000 * ms})
+		}
+		return s
+	}
+	core, err := NewCore(1, settings("lookup", "report"), log, log)
+	if err != nil {
+		t.Fatal(err)
+	}
+	var errs []error
+	change := func(v uint64, s choice.Settings) Event {
+		return Change{v, s, func(err error) { errs = append(errs, err) }}
+	}
+	query := func(id string, version uint64, class int) Event {
+		q := log.query(id, 2000*ms)
+		q.Version, q.Class, q.Cost = version, class, ms
+		return Taken{q}
+	}
+	now := Micros(1e9)
+	step := func(in ...Event) {
+		t.Helper()
+		now += ms
+		for _, e := range in {
+			if q, ok := e.(Taken); ok {
+				q.Query.Due += now
+			}
+		}
+		if err := core.Step(now, in); err != nil {
+			t.Fatal(err)
+		}
+	}
+	step(Told{choice.Engines{Whole: true, Rows: []choice.Engine{{ID: "n"}}}}, query("a", 0, 1))
+	step(change(1, settings("report", "load")), query("b", 0, 0), query("c", 0, 1), query("d", 1, 1))
+	if got := core.InFlight(); got["report"] != 2 || got["load"] != 1 {
+		t.Errorf("in flight: %v", got)
+	}
+	step(change(2, settings("load")), change(1, settings("load")))
+	if errs[0] != nil || errs[1] == nil || errs[2] == nil {
+		t.Errorf("the changes ended with %v; want taken, refused for its queries in flight, refused for its number", errs)
+	}
+	step(Ended{ID: "a", Code: choice.OK}, Ended{ID: "c", Code: choice.OK}, change(3, settings("load")))
+	if errs[3] != nil {
+		t.Errorf("with nothing of the class in flight: %v", errs[3])
+	}
+	want := "send a/0 n; answer b refused CLASS_GONE; send c/0 n; send d/0 n; answer a served ; answer c served "
+	if got := strings.Join(log.lines, "; "); got != want {
+		t.Errorf("got  %s\nwant %s", got, want)
+	}
+}
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -12,6 +12,7 @@
 // Query is one client's query as a front hands it over.
 type Query struct {
 	ID       string // never used twice by this dispatcher
+	Version  uint64 // of the settings by which Class and Tenant are numbered
 	Class    int    // index in choice.Settings.Classes
 	Tenant   int    // index in choice.Settings.Tenants
 	Cost     Micros // estimated work of all threads; 0: unknown
@@ -58,6 +59,7 @@
 	ReasonNone      Reason = ""
 	ReasonOverload  Reason = "OVERLOADED"         // the module gave it up: no room in time, or not worth its work
 	ReasonFull      Reason = "DISPATCHER_FULL"    // as many queries are held as settings allow
+	ReasonClassGone Reason = "CLASS_GONE"         // its class left the configuration while it was on its way
 	ReasonDraining  Reason = "DISPATCHER_STOPS"   // the dispatcher takes nothing new
 	ReasonAttempt   Reason = "ATTEMPT_FAILED"     // an attempt may have run and no other is allowed
 	ReasonBroken    Reason = "ANSWER_BROKEN"      // the answer had begun and its node went silent or broke off
@@ -132,10 +134,17 @@
 	}
 	// Told passes on what needs no ledger: choice.Engines, Probed, Progress and Heard.
 	Told struct{ Event choice.Event }
+	// Change puts new settings in force between two steps, whole or not at all. Done gets exactly one value.
+	Change struct {
+		Version  uint64
+		Settings choice.Settings
+		Done     func(error)
+	}
 )
 
-func (Taken) isEvent() {}
-func (Left) isEvent()  {}
-func (Begun) isEvent() {}
-func (Ended) isEvent() {}
-func (Told) isEvent()  {}
+func (Taken) isEvent()  {}
+func (Left) isEvent()   {}
+func (Begun) isEvent()  {}
+func (Ended) isEvent()  {}
+func (Told) isEvent()   {}
+func (Change) isEvent() {}
