--- a/config/config.go
+++ b/config/config.go
@@ -275,6 +275,9 @@
 // Effective is the configuration with all defaults, as JSON.
 func (c *Config) Effective() ([]byte, error) { return json.MarshalIndent(c.File, "", "  ") }
 
+// UpdatesSuffix ends the name of the class that a class's updates fall in, where their effect differs.
+const UpdatesSuffix = " (updates)"
+
 var (
 	effects   = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
 	groups    = map[string]choice.Group{"all": choice.GroupAll, "hall": choice.GroupZone, "cell": choice.GroupCell}
@@ -454,7 +457,7 @@
 		c.Classes.Updates = append(c.Classes.Updates, i)
 		if k.Updates != k.Effect {
 			c.Classes.Updates[i] = len(f.Classes) + len(updates)
-			m.Name, m.Effect = k.Name+" (updates)", effects[k.Updates]
+			m.Name, m.Effect = k.Name+UpdatesSuffix, effects[k.Updates]
 			updates = append(updates, m)
 		}
 	}
--- a/config/nodes.go
+++ b/config/nodes.go
@@ -5,7 +5,7 @@
 	"time"
 
 	"embershunt/choice"
-	"embershunt/fleet"
+	"embershunt/nodelist"
 )
 
 var states = map[string]choice.EngineState{"": choice.Healthy, "healthy": choice.Healthy, "draining": choice.Draining,
@@ -22,8 +22,8 @@
 }
 
 // row turns a row into what the fleet knows.
-func (c *Config) row(n *Node) (fleet.Node, error) {
-	out := fleet.Node{ID: n.Name, Address: n.Address, Cell: n.Cell, Weight: n.Weight}
+func (c *Config) row(n *Node) (nodelist.Node, error) {
+	out := nodelist.Node{ID: n.Name, Address: n.Address, Cell: n.Cell, Weight: n.Weight}
 	state, ok := states[n.State]
 	if !ok {
 		return out, fmt.Errorf("state %q of node %q: allowed are healthy, draining, gone", n.State, n.Name)
@@ -47,8 +47,8 @@
 }
 
 // Names are the halls and kinds that rows of a node list may name.
-func (c *Config) Names() fleet.Names {
-	names := fleet.Names{Halls: c.File.Halls}
+func (c *Config) Names() nodelist.Names {
+	names := nodelist.Names{Halls: c.File.Halls}
 	for _, k := range c.File.Kinds {
 		names.Kinds = append(names.Kinds, k.Name)
 	}
@@ -56,8 +56,8 @@
 }
 
 // Nodes are the rows of the configuration's own list.
-func (c *Config) Nodes() []fleet.Node {
-	out := make([]fleet.Node, 0, len(c.File.Nodes.List))
+func (c *Config) Nodes() []nodelist.Node {
+	out := make([]nodelist.Node, 0, len(c.File.Nodes.List))
 	for i := range c.File.Nodes.List {
 		n, err := c.row(&c.File.Nodes.List[i])
 		if err == nil { // checked when the file was read
@@ -68,7 +68,7 @@
 }
 
 // ParseNodes reads a node list file: {"nodes": [...]}. Its error is *Mistakes.
-func (c *Config) ParseNodes(name string, text []byte) ([]fleet.Node, error) {
+func (c *Config) ParseNodes(name string, text []byte) ([]nodelist.Node, error) {
 	var list struct {
 		Nodes []Node `json:"nodes"`
 	}
@@ -80,7 +80,7 @@
 	if len(d.all) > 0 {
 		return nil, &Mistakes{name, d.all}
 	}
-	out := make([]fleet.Node, len(list.Nodes))
+	out := make([]nodelist.Node, len(list.Nodes))
 	for i := range list.Nodes {
 		out[i], _ = c.row(&list.Nodes[i])
 	}
--- /dev/null
+++ b/control/judge.go
@@ -0,0 +1,154 @@
+package control
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"embershunt/config"
+	"embershunt/control/configv1"
+)
+
+// Bounds are the limits of the checks for harm. Zero values mean the defaults.
+type Bounds struct {
+	Floor       float64 // least share of the healthy nodes that a list may leave at once; default 0.5
+	FloorCount  int     // least number of them; default 1
+	RelistAfter Micros  // a drained node listed as healthy without a new start is believed after this; default 60 s
+	NoClassEnds bool    // a class with queries in flight may not end; the default, see NewBounds
+	NoShorter   bool    // a grace or budget may not become shorter than what is out; the default
+
+	config *config.Config // of the set that moves
+}
+
+// DefaultBounds are the limits where settings name none.
+func DefaultBounds() Bounds {
+	return Bounds{Floor: 0.5, FloorCount: 1, RelistAfter: 60e6, NoClassEnds: true, NoShorter: true}
+}
+
+// check judges a whole set: form and references by the configuration's own rules, then what is fixed at start, then
+// harm. It returns all reasons, each with the name of its check.
+func (m *Module) check(set Set, k Known) (*config.Config, []string) {
+	file := merge(m.local, set)
+	cfg, err := config.FromFile(file)
+	if err != nil {
+		var reasons []string
+		if mistakes, ok := err.(*config.Mistakes); ok {
+			for _, one := range mistakes.All {
+				reasons = append(reasons, fmt.Sprintf("reference: %s: found %s, allowed: %s", one.Field, one.Found, one.Allowed))
+			}
+		}
+		if reasons == nil {
+			reasons = []string{"form: " + err.Error()}
+		}
+		return nil, reasons
+	}
+	reasons := m.fixed(cfg)
+	if m.pass[set.Number] {
+		return cfg, reasons
+	}
+	return cfg, append(reasons, m.harm(cfg, k)...)
+}
+
+// fixed are the things that only a start can change; no override helps.
+func (m *Module) fixed(cfg *config.Config) (reasons []string) {
+	now, next := m.file.Kinds, cfg.File.Kinds
+	for i, k := range now {
+		if i >= len(next) || next[i].Name != k.Name {
+			reasons = append(reasons, fmt.Sprintf("fixed: kinds of machine keep their places, new ones come last: %q stood "+
+				"at %d", k.Name, i))
+		}
+	}
+	return reasons
+}
+
+// harm are the checks for what is valid in form and would hurt now.
+func (m *Module) harm(cfg *config.Config, k Known) (reasons []string) {
+	if m.bounds.NoClassEnds {
+		for _, name := range classNames(m.file) {
+			if n := k.InFlight[name]; n > 0 && !slices.Contains(settingNames(cfg), name) {
+				reasons = append(reasons, fmt.Sprintf("class_ends: class %q would end with %d queries in flight", name, n))
+			}
+		}
+	}
+	if !m.bounds.NoShorter {
+		return reasons
+	}
+	old, next := m.file.Limits, cfg.File.Limits
+	if age, drains := m.nodes.youngestDrain(m.now); drains && next.DrainGrace < old.DrainGrace && age <= micros(old.DrainGrace) {
+		reasons = append(reasons, fmt.Sprintf("grace: drain_grace would fall from %v to %v while a node is in its grace, told "+
+			"%v ago", old.DrainGrace.D(), next.DrainGrace.D(), time.Duration(age)*time.Microsecond))
+	}
+	if k.Resting && next.TurnRest < old.TurnRest {
+		reasons = append(reasons, fmt.Sprintf("grace: turn_rest would fall from %v to %v while order keys rest",
+			old.TurnRest.D(), next.TurnRest.D()))
+	}
+	allowed := func(l config.Limits) float64 { return l.BudgetFree + l.BudgetShare*float64(k.Taken) }
+	if next.BudgetSpan > 0 && float64(k.Further) > allowed(next) && (old.BudgetSpan == 0 || allowed(next) < allowed(old) ||
+		next.BudgetSpan > old.BudgetSpan) {
+		reasons = append(reasons, fmt.Sprintf("budget: %d further attempts are out, the new budget would allow %.1f", k.Further,
+			allowed(next)))
+	}
+	return reasons
+}
+
+func micros(d config.Duration) Micros { return d.D().Microseconds() }
+
+func classNames(f config.File) (names []string) {
+	for _, c := range f.Classes {
+		names = append(names, c.Name, c.Name+config.UpdatesSuffix)
+	}
+	return names
+}
+
+func settingNames(cfg *config.Config) (names []string) {
+	for _, c := range cfg.Settings.Classes {
+		names = append(names, c.Name)
+	}
+	return names
+}
+
+func span(us int64) config.Duration { return config.Duration(time.Duration(us) * time.Microsecond) }
+
+// merge lays a set over what is local.
+func merge(local config.File, s Set) config.File {
+	f := local
+	f.Classes, f.Default = nil, s.Classes.GetDefaultClass()
+	for _, c := range s.Classes.GetClasses() {
+		f.Classes = append(f.Classes, config.Class{Name: c.GetName(), Worth: c.GetWorth(), LateWorth: c.GetLateWorth(),
+			Aim: span(c.GetAimUs()), AimStretch: c.GetAimStretch(), Deadline: span(c.GetDeadlineUs()),
+			Threads: int(c.GetThreads()), Effect: c.GetEffect(), Updates: c.GetUpdates(), Group: c.GetGroup(),
+			Window: span(c.GetWindowUs()), InTurn: c.GetInTurn(), Halls: c.GetHalls(), Kinds: c.GetKinds(),
+			Loads: c.GetLoads(), Waits: c.GetWaits()})
+	}
+	f.Tenants = nil
+	for _, t := range s.Tenants.GetTenants() {
+		f.Tenants = append(f.Tenants, config.Tenant{Name: t.GetName(), PerSecond: t.GetPerSecond()})
+	}
+	l := s.Limits
+	f.Limits = config.Limits{Attempts: int(l.GetAttempts()), Held: int(l.GetHeld()), ComeBack: span(l.GetComeBackUs()),
+		SecondCopies: l.GetSecondCopies(), DrainGrace: span(l.GetDrainGraceUs()), TurnRest: span(l.GetTurnRestUs()),
+		BudgetFree: l.GetBudgetFree(), BudgetShare: l.GetBudgetShare(), BudgetSpan: span(l.GetBudgetSpanUs()),
+		ColdFrom: l.GetColdFrom(), ColdFor: span(l.GetColdForUs()), ColdMultiple: l.GetColdMultiple(),
+		ColdSpan: span(l.GetColdSpanUs()), OverShareWorth: l.GetOverShareWorth()}
+	if n := int(l.GetDispatchers()); n > 0 {
+		f.Peers = n
+		f.Number = min(f.Number, n-1)
+	}
+	if len(l.GetKinds()) > 0 {
+		f.Kinds = nil
+		for _, k := range l.GetKinds() {
+			f.Kinds = append(f.Kinds, config.Kind{Name: k.GetName(), Cores: int(k.GetCores()), MemoryMB: k.GetMemoryMb()})
+		}
+	}
+	f.Rules, f.NoHints = nil, s.Classification.GetNoHints()
+	for _, r := range s.Classification.GetRules() {
+		f.Rules = append(f.Rules, rule(r))
+	}
+	return f
+}
+
+func rule(r *configv1.Rule) config.Rule {
+	return config.Rule{Name: r.GetName(), User: r.GetUser(), Header: r.GetHeader(), Option: r.GetOption(), Value: r.GetValue(),
+		Statement: r.GetStatement(), Command: r.GetCommand(), Class: r.GetClass(), Tenant: r.GetTenant(),
+		Cost: span(r.GetCostUs()), MemoryMB: r.GetMemoryMb(), Key: r.GetKey(), Tables: r.GetTables()}
+}
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -16,7 +16,7 @@
 
 	"embershunt/config"
 	"embershunt/dispatcher"
-	"embershunt/fleet"
+	"embershunt/nodelist"
 	"embershunt/standin"
 )
 
@@ -118,10 +118,10 @@
 }
 
 // list sets the node list as the nodes are now; change may alter a row.
-func (r *rig) list(change func(i int, n *fleet.Node)) {
-	rows := make([]fleet.Node, len(r.nodes))
+func (r *rig) list(change func(i int, n *nodelist.Node)) {
+	rows := make([]nodelist.Node, len(r.nodes))
 	for i, n := range r.nodes {
-		rows[i] = fleet.Node{ID: n.Name, Address: n.Address}
+		rows[i] = nodelist.Node{ID: n.Name, Address: n.Address}
 		if change != nil {
 			change(i, &rows[i])
 		}
--- a/dispatcher/nodes.go
+++ b/dispatcher/nodes.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"embershunt/fleet"
+	"embershunt/nodelist"
 )
 
 // fileEvery is how often a node list file is looked at.
@@ -46,7 +47,7 @@
 		text, err := os.ReadFile(path)
 		if err == nil && (last == nil || !bytes.Equal(text, last)) {
 			last = text
-			var nodes []fleet.Node
+			var nodes []nodelist.Node
 			if nodes, err = d.cfg.ParseNodes(path, text); err == nil {
 				failed = ""
 				d.fleet.SetNodes(nodes)
--- a/dispatcher/nodes_test.go
+++ b/dispatcher/nodes_test.go
@@ -10,7 +10,7 @@
 	"google.golang.org/grpc/status"
 
 	"embershunt/choice"
-	"embershunt/fleet"
+	"embershunt/nodelist"
 	"embershunt/standin"
 )
 
@@ -122,7 +122,7 @@
 				t.Fatal(err)
 			}
 			told := time.Now()
-			r.list(func(_ int, n *fleet.Node) { n.State = choice.Draining })
+			r.list(func(_ int, n *nodelist.Node) { n.State = choice.Draining })
 			finals := map[string]int{}
 			for range n {
 				finals[<-done]++
--- a/fleet/eds.go
+++ b/fleet/eds.go
@@ -17,6 +17,7 @@
 	"google.golang.org/grpc/credentials/insecure"
 
 	"embershunt/choice"
+	"embershunt/nodelist"
 )
 
 // EDSType is the resource type of node lists (xDS v3).
@@ -31,13 +32,13 @@
 	fleet            *Fleet
 	address, cluster string
 	node             string
-	names            Names
+	names            nodelist.Names
 	ask              chan struct{}
 	backoff          time.Duration
 }
 
 // NewEDS returns a watch; node is this dispatcher's name.
-func NewEDS(f *Fleet, address, cluster, node string, names Names) *EDS {
+func NewEDS(f *Fleet, address, cluster, node string, names nodelist.Names) *EDS {
 	return &EDS{fleet: f, address: address, cluster: cluster, node: node, names: names, ask: make(chan struct{}, 1),
 		backoff: 200 * time.Millisecond}
 }
@@ -126,7 +127,7 @@
 }
 
 // nodes reads a response. A cluster that is not in it says nothing; one without endpoints is an empty list.
-func (e *EDS) nodes(answer *discoveryv3.DiscoveryResponse) ([]Node, error) {
+func (e *EDS) nodes(answer *discoveryv3.DiscoveryResponse) ([]nodelist.Node, error) {
 	for i, r := range answer.GetResources() {
 		var c endpointv3.ClusterLoadAssignment
 		if err := r.UnmarshalTo(&c); err != nil {
@@ -135,7 +136,7 @@
 		if c.GetClusterName() != e.cluster {
 			continue
 		}
-		nodes := []Node{}
+		nodes := []nodelist.Node{}
 		for _, l := range c.GetEndpoints() {
 			hall, err := e.names.Hall(l.GetLocality().GetZone())
 			if err != nil {
@@ -154,9 +155,9 @@
 	return nil, fmt.Errorf("version %q: %w", answer.GetVersionInfo(), errors.New("cluster "+strconv.Quote(e.cluster)+" is not in it"))
 }
 
-func (e *EDS) row(p *endpointv3.LbEndpoint, hall int) (Node, error) {
+func (e *EDS) row(p *endpointv3.LbEndpoint, hall int) (nodelist.Node, error) {
 	a := p.GetEndpoint().GetAddress().GetSocketAddress()
-	n := Node{Hall: hall, Address: net.JoinHostPort(a.GetAddress(), strconv.Itoa(int(a.GetPortValue()))),
+	n := nodelist.Node{Hall: hall, Address: net.JoinHostPort(a.GetAddress(), strconv.Itoa(int(a.GetPortValue()))),
 		Weight: float64(p.GetLoadBalancingWeight().GetValue())}
 	if a == nil {
 		return n, errors.New("an endpoint without a socket address")
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -1,70 +1,18 @@
 package fleet
 
 import (
-	"fmt"
 	"maps"
 	"slices"
-	"strings"
 	"time"
 
 	"embershunt/choice"
+	"embershunt/nodelist"
 )
 
-// Node is one row of the node list.
-type Node struct {
-	ID      string // its name; stable over restarts
-	Address string // host:port
-	Hall    int
-	Kind    int
-	Cell    int
-	State   choice.EngineState
-	Weight  float64   // 0 counts as 1
-	Started time.Time // last start; zero: long ago
-}
-
-// Names turn the words of a node list into the indexes that the module knows.
-type Names struct{ Halls, Kinds []string }
-
-// indexOf finds a name; an empty one is the first.
-func indexOf(what, name string, names []string) (int, error) {
-	if name == "" && len(names) > 0 {
-		return 0, nil
-	}
-	if i := slices.Index(names, name); i >= 0 {
-		return i, nil
-	}
-	return 0, fmt.Errorf("%s %q is not known, allowed are: %s", what, name, strings.Join(names, ", "))
-}
-
-// Hall is the index of a hall; an empty name is the first.
-func (n Names) Hall(name string) (int, error) { return indexOf("hall", name, n.Halls) }
-
-// Kind is the index of a kind of machine; an empty name is the first.
-func (n Names) Kind(name string) (int, error) { return indexOf("kind", name, n.Kinds) }
-
-// checkNodes names the first row of a list that cannot be used.
-func checkNodes(nodes []Node) error {
-	ids, addresses := map[string]bool{}, map[string]string{}
-	for _, n := range nodes {
-		switch {
-		case n.ID == "":
-			return fmt.Errorf("a node at %q has no name", n.Address)
-		case ids[n.ID]:
-			return fmt.Errorf("node %q is listed twice", n.ID)
-		case n.Address == "" && n.State != choice.Gone:
-			return fmt.Errorf("node %q has no address", n.ID)
-		case n.Address != "" && addresses[n.Address] != "":
-			return fmt.Errorf("nodes %q and %q have the same address %s", addresses[n.Address], n.ID, n.Address)
-		}
-		ids[n.ID], addresses[n.Address] = true, n.ID
-	}
-	return nil
-}
-
 // SetNodes takes a whole node list. Rows that are missing from it are gone. A list that cannot be used changes
 // nothing and is told to the module as a failed call.
-func (f *Fleet) SetNodes(nodes []Node) error {
-	if err := checkNodes(nodes); err != nil {
+func (f *Fleet) SetNodes(nodes []nodelist.Node) error {
+	if err := nodelist.Check(nodes); err != nil {
 		f.ListFailed(err)
 		return err
 	}
@@ -105,7 +53,7 @@
 }
 
 // place books a node; f.mu is held.
-func (f *Fleet) place(row Node) {
+func (f *Fleet) place(row nodelist.Node) {
 	n := f.nodes[row.ID]
 	if n != nil && n.address == row.Address {
 		n.gone = false
