Settings and node lists stream from a control service: judged, stored, put in force

One ADS stream (xDS v3, state of the world or delta) brings node list and settings; control/ judges, store/ keeps, the loop changes between two steps, the front classifies by the new tables. Node lists by EDS take the same way, so a list that is empty or resurrects a drained node is refused. Reconnects wait a drawn part of a bound that doubles (full jitter).

--- a/choice/change.go
+++ b/choice/change.go
@@ -119,3 +119,23 @@
 	}
 	return to[i]
 }
+
+// Out tells what of the rules' counts is out: further attempts and requests taken within the budget's span, and whether
+// any order key has an attempt out or rests.
+func (g *Gateway) Out() (further, taken int, resting bool) {
+	since := g.now - g.set.BudgetSpan
+	for _, at := range g.further {
+		if at > since {
+			further++
+		}
+	}
+	for _, at := range g.taken {
+		if at > since {
+			taken++
+		}
+	}
+	for _, t := range g.turns { // any of them: the order does not matter
+		resting = resting || t.open > 0 || g.now < t.rest
+	}
+	return further, taken, resting
+}
--- a/config/config.go
+++ b/config/config.go
@@ -38,6 +38,7 @@
 	Sending Sending  `json:"sending"`
 	Front   Front    `json:"front"`
 	Log     Log      `json:"log"`
+	Control *Control `json:"control"` // streams node list and settings; nodes is left out then
 }
 
 // Listen has the addresses served.
@@ -65,6 +66,19 @@
 	Cluster string `json:"cluster"`
 }
 
+// Control is a control service that streams the node list and the settings: classes, tenants, limits, rules.
+type Control struct {
+	Address     string   `json:"address"`
+	Cluster     string   `json:"cluster"` // name of the node list
+	Delta       bool     `json:"delta"`   // the incremental variant of xDS
+	Store       string   `json:"store"`   // file that keeps the versions taken; empty: none outlives the process
+	Keep        int      `json:"keep"`    // how many of them
+	Floor       float64  `json:"floor"`   // least share of the healthy nodes that a list may leave at once
+	FloorCount  int      `json:"floor_count"`
+	RelistAfter Duration `json:"relist_after"` // a drained node without a new start is believed healthy after this
+	Reconnect   Duration `json:"reconnect_most"`
+}
+
 // Node is one row of a list in a file.
 type Node struct {
 	Name    string  `json:"name"`
@@ -268,6 +282,13 @@
 	or(&r.SchemaMost, 4096)
 	or(&r.MaxStatement, 2<<20)
 	or(&r.MaxParams, 256<<10)
+	if k := f.Control; k != nil {
+		or(&k.Keep, 10)
+		or(&k.Floor, 0.5)
+		or(&k.FloorCount, 1)
+		or(&k.RelistAfter, Duration(time.Minute))
+		or(&k.Reconnect, Duration(30*time.Second))
+	}
 	or(&f.Log.Level, "info")
 	or(&f.Log.Format, "json")
 }
@@ -512,13 +533,26 @@
 func (c *Config) checkNodes(d *decoder, address func(path, v string, empty bool)) {
 	n := &c.File.Nodes
 	sources := 0
-	for _, has := range []bool{n.File != "", n.EDS != nil, len(n.List) > 0} {
+	for _, has := range []bool{n.File != "", n.EDS != nil, len(n.List) > 0, c.File.Control != nil} {
 		if has {
 			sources++
 		}
 	}
 	if sources != 1 {
-		d.wrong("nodes", fmt.Sprintf("%d sources", sources), "exactly one of file, eds, list")
+		d.wrong("nodes", fmt.Sprintf("%d sources", sources), "exactly one of file, eds, list; or control in their place")
+	}
+	if k := c.File.Control; k != nil {
+		address("control.address", k.Address, false)
+		if k.Cluster == "" {
+			d.wrong("control.cluster", "none", "the name of the node list to watch")
+		}
+		if k.Floor < 0 || k.Floor > 1 || k.FloorCount < 0 || k.Keep < 2 || k.Keep > 1000 {
+			d.wrong("control", fmt.Sprintf("floor %v, floor_count %d, keep %d", k.Floor, k.FloorCount, k.Keep),
+				"floor 0 to 1, floor_count 0 or more, keep 2 to 1000")
+		}
+		if k.RelistAfter < 0 || k.Reconnect < 0 {
+			d.wrong("control", "a span under 0", "relist_after and reconnect_most of 0 or more")
+		}
 	}
 	if n.EDS != nil {
 		address("nodes.eds.address", n.EDS.Address, false)
--- a/control/control.go
+++ b/control/control.go
@@ -149,7 +149,6 @@
 	set            uint64
 	message        proto.Message
 	bad            error
-	known          Known
 }
 
 // Phase is where a set stands.
@@ -178,6 +177,7 @@
 	back    bool                  // the set that moves is a roll back: nobody waits for a reply
 	pinned  bool
 	pass    map[uint64]bool // numbers that an operator lets pass
+	latest  Known           // as of the last offer
 	last    []string        // reasons of the last refusal
 	nodes   nodes
 }
@@ -263,7 +263,8 @@
 // offered takes one resource of the settings. The newest of a kind is all that counts: one before it that has no reply
 // is passed over, as xDS allows.
 func (m *Module) offered(ev Offered) {
-	o := &offer{version: ev.Version, nonce: ev.Nonce, message: ev.Message, bad: ev.Bad, known: ev.Known}
+	m.latest = ev.Known
+	o := &offer{version: ev.Version, nonce: ev.Nonce, message: ev.Message, bad: ev.Bad}
 	if o.bad == nil {
 		o.set, o.bad = setOf(ev.Kind, ev.Message)
 	}
@@ -334,7 +335,7 @@
 		m.refuseAll([]string{fmt.Sprintf("pinned: an operator holds this dispatcher at set %d", m.force.Number)})
 		return
 	}
-	cfg, reasons := m.check(set, m.waiting[Limits].known)
+	cfg, reasons := m.check(set, m.latest)
 	if len(reasons) > 0 {
 		m.refuseAll(reasons)
 		return
@@ -446,7 +447,6 @@
 // offer it again and find it in force.
 func (m *Module) lost() {
 	m.waiting, m.replies = [settingsKinds]*offer{}, [settingsKinds]*offer{}
-	m.nodes.version = ""
 	m.log("the control service is out of reach; set %d stays in force", m.force.Number)
 }
 
--- a/control/judge.go
+++ b/control/judge.go
@@ -109,6 +109,9 @@
 
 func span(us int64) config.Duration { return config.Duration(time.Duration(us) * time.Microsecond) }
 
+// Merge is the configuration of a file with a set laid over it.
+func Merge(local config.File, s Set) (*config.Config, error) { return config.FromFile(merge(local, s)) }
+
 // merge lays a set over what is local.
 func merge(local config.File, s Set) config.File {
 	f := local
--- a/control/nodes.go
+++ b/control/nodes.go
@@ -20,10 +20,7 @@
 }
 
 // nodes is the node list and what was learned of it.
-type nodes struct {
-	known   map[string]*known
-	version string // acknowledged last on this stream
-}
+type nodes struct{ known map[string]*known }
 
 // youngestDrain is the time since the latest drain or end was told.
 func (n *nodes) youngestDrain(now Micros) (age Micros, any bool) {
@@ -49,7 +46,7 @@
 		m.believeDrains(ev.Nodes)
 		return
 	}
-	m.taken[Nodes], m.nodes.version = ev.Version, ev.Version
+	m.taken[Nodes] = ev.Version
 	m.learn(ev.Nodes)
 	m.do(List{m.listed()})
 	m.do(Ack{Nodes, ev.Version, ev.Nonce})
--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -99,6 +99,7 @@
 	}
 	c.numbers.add(ch.Version, ch.Settings)
 	c.most = ch.Settings.MaxHeld
+	c.observe.Changed(ch.Version, ch.Settings)
 	return nil
 }
 
@@ -123,3 +124,9 @@
 	}
 	return out
 }
+
+// Out tells what of the rules' counts is out (choice.Gateway.Out).
+func (c *Core) Out() (further, taken int, resting bool) { return c.gateway.Out() }
+
+// Version is that of the settings in force.
+func (c *Core) Version() uint64 { return c.numbers.version }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -31,6 +31,7 @@
 type decider interface {
 	Step(now Micros, events []choice.Event) []choice.Action
 	Change(s choice.Settings, classes, tenants []int) error
+	Out() (further, taken int, resting bool)
 }
 
 // Observer sees what happened, for metrics, logs and traces. It is called from the loop and must not block.
@@ -40,6 +41,7 @@
 	Sent(a Attempt)
 	Ended(q *Query, node string, ev Ended)
 	Fault(Fault)
+	Changed(version uint64, s choice.Settings)
 	Note(text string)
 	Stepped(events, actions, held int)
 }
@@ -100,6 +102,10 @@
 			ch.Done(c.change(ch))
 			continue
 		}
+		if look, ok := ev.(Look); ok {
+			look.At(c)
+			continue
+		}
 		c.translate(now, ev)
 	}
 	for e := c.books.overdue(now); e != nil; e = c.books.overdue(now) {
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -31,6 +31,9 @@
 // Change takes everything.
 func (s *scripted) Change(choice.Settings, []int, []int) error { return nil }
 
+// Out has nothing out.
+func (s *scripted) Out() (int, int, bool) { return 0, 0, false }
+
 // tape is a fleet, an observer and a client that write down what they are asked.
 type tape struct {
 	lines  []string
@@ -54,6 +57,7 @@
 func (t *tape) Sent(Attempt)                      {}
 func (t *tape) Ended(*Query, string, Ended)       {}
 func (t *tape) Fault(f Fault)                     { t.faults = append(t.faults, f.Kind) }
+func (t *tape) Changed(uint64, choice.Settings)   {}
 func (t *tape) Note(string)                       {}
 func (t *tape) Stepped(events, actions, held int) {}
 func (t *tape) client(id string) clientTape       { return clientTape{t, id} }
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -140,6 +140,8 @@
 		Settings choice.Settings
 		Done     func(error)
 	}
+	// Look lets the loop look at the core between two events; At must neither block nor change anything.
+	Look struct{ At func(*Core) }
 )
 
 func (Taken) isEvent()  {}
@@ -148,3 +150,4 @@
 func (Ended) isEvent()  {}
 func (Told) isEvent()   {}
 func (Change) isEvent() {}
+func (Look) isEvent()   {}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -22,6 +22,8 @@
 	"google.golang.org/grpc/keepalive"
 
 	"embershunt/config"
+	"embershunt/control"
+	"embershunt/control/stream"
 	"embershunt/dispatch"
 	"embershunt/fleet"
 	"embershunt/front/flightsql"
@@ -41,6 +43,7 @@
 	registry *prometheus.Registry
 	listener net.Listener
 	metrics  net.Listener
+	control  *controller // nil: nothing is streamed
 }
 
 // Options are what a configuration does not say.
@@ -61,6 +64,18 @@
 	f := &cfg.File
 	d := &Dispatcher{cfg: cfg, log: o.Log.With("dispatcher", f.Name), clock: dispatch.NewClock(),
 		registry: prometheus.NewRegistry(), health: health.NewServer()}
+	if f.Control != nil || f.Nodes.EDS != nil {
+		var err error
+		if d.control, cfg, err = newController(cfg, d.log); err != nil {
+			return nil, err
+		}
+		d.control.d, d.cfg, f = d, cfg, &cfg.File
+		defer func() {
+			if d.listener == nil && d.control.store != nil { // it did not come to listen
+				d.control.store.Close()
+			}
+		}()
+	}
 	sealer, err := seal.New(cfg.Keys...)
 	if err != nil {
 		return nil, fmt.Errorf("keys: %w", err)
@@ -82,12 +97,8 @@
 		}
 		auth = flightsql.NewUsers(hashes)
 	}
-	deadlines := make([]time.Duration, len(cfg.Settings.Classes))
-	for i, c := range cfg.Settings.Classes {
-		deadlines[i] = time.Duration(c.Deadline) * time.Microsecond
-	}
 	r := &f.Front
-	d.front = flightsql.New(flightsql.Options{Log: d.log, Clock: d.clock, Classes: &cfg.Classes, Deadlines: deadlines,
+	d.front = flightsql.New(flightsql.Options{Log: d.log, Clock: d.clock, Tables: tables(cfg, 0),
 		Auth: auth, Seal: sealer, WayBack: r.WayBack.D(), TicketLife: r.TicketLife.D(),
 		PreparedLife: r.PreparedLife.D(), BearerLife: r.BearerLife.D(), SchemaLife: r.SchemaLife.D(),
 		SchemaMost: r.SchemaMost, MaxStatement: r.MaxStatement, MaxParams: r.MaxParams,
@@ -112,6 +123,15 @@
 	return d, nil
 }
 
+// tables are what a configuration tells the front.
+func tables(cfg *config.Config, version uint64) flightsql.Tables {
+	t := flightsql.Tables{Version: version, Classes: &cfg.Classes, Deadlines: make([]time.Duration, len(cfg.Settings.Classes))}
+	for i, c := range cfg.Settings.Classes {
+		t.Deadlines[i] = time.Duration(c.Deadline) * time.Microsecond
+	}
+	return t
+}
+
 // Address is where Flight SQL is served.
 func (d *Dispatcher) Address() string { return d.listener.Addr().String() }
 
@@ -132,7 +152,9 @@
 func (d *Dispatcher) Run(ctx context.Context) error {
 	group, ctx := errgroup.WithContext(ctx)
 	stop := make(chan struct{}) // closed when the loop has ended
-	if err := d.watchNodes(); err != nil {
+	if d.control != nil {
+		d.startControl(ctx, group, stop)
+	} else if err := d.watchNodes(); err != nil {
 		d.listener.Close()
 		return err
 	}
@@ -170,6 +192,41 @@
 	return group.Wait()
 }
 
+// startControl keeps the stream to the control service up until the loop has ended.
+func (d *Dispatcher) startControl(ctx context.Context, group *errgroup.Group, stop <-chan struct{}) {
+	f := &d.cfg.File
+	o := stream.Options{Node: f.Name, Names: d.cfg.Names(), Most: 5 * time.Second}
+	if f.Control != nil {
+		o.Address, o.Cluster, o.Settings, o.Delta = f.Control.Address, f.Control.Cluster, true, f.Control.Delta
+		o.Most = f.Control.Reconnect.D()
+	} else {
+		o.Address, o.Cluster = f.Nodes.EDS.Address, f.Nodes.EDS.Cluster
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	d.control.stream = stream.New(o, handler{d.control, ctx})
+	d.fleet.OnFetch(d.control.stream.Again)
+	group.Go(func() error {
+		<-stop
+		cancel()
+		return nil
+	})
+	group.Go(func() error {
+		defer cancel()
+		return d.control.run(ctx)
+	})
+}
+
+// ControlStatus tells where streamed versions stand; ok is false where nothing is streamed.
+func (d *Dispatcher) ControlStatus() (control.Status, bool) {
+	if d.control == nil {
+		return control.Status{}, false
+	}
+	if s := d.control.status.Load(); s != nil {
+		return *s, true
+	}
+	return control.Status{}, true
+}
+
 // finish lets the last answers reach their clients, for a moment: every query has its verdict by now.
 func (d *Dispatcher) finish(ctx context.Context) {
 	gone := make(chan struct{})
--- a/dispatcher/nodes.go
+++ b/dispatcher/nodes.go
@@ -6,7 +6,6 @@
 	"os"
 	"time"
 
-	"embershunt/fleet"
 	"embershunt/nodelist"
 )
 
@@ -17,10 +16,6 @@
 func (d *Dispatcher) watchNodes() error {
 	n := &d.cfg.File.Nodes
 	switch {
-	case n.EDS != nil:
-		w := fleet.NewEDS(d.fleet, n.EDS.Address, n.EDS.Cluster, d.cfg.File.Name, d.cfg.Names())
-		d.fleet.OnFetch(w.Ask)
-		d.fleet.Go(w.Run)
 	case n.File != "":
 		again := make(chan struct{}, 1)
 		d.fleet.OnFetch(func() {
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -35,6 +35,8 @@
 	events   prometheus.Counter
 	actions  prometheus.Counter
 	held     prometheus.Gauge
+	limit    prometheus.Gauge
+	version  prometheus.Gauge
 }
 
 // querySpans are the open spans of one query.
@@ -76,10 +78,12 @@
 		Help: "Actions of the decision module."})
 	o.held = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_queries",
 		Help: "Queries without a final answer."})
-	limit := prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_queries_limit",
+	o.version = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "settings_changes",
+		Help: "Changes of settings since the start."})
+	o.limit = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_queries_limit",
 		Help: "Most queries that may be held."})
-	limit.Set(float64(cfg.Settings.MaxHeld))
-	r.MustRegister(o.latency, o.steps, o.events, o.actions, o.held, limit)
+	o.limit.Set(float64(cfg.Settings.MaxHeld))
+	r.MustRegister(o.latency, o.steps, o.events, o.actions, o.held, o.limit, o.version)
 	return o
 }
 
@@ -161,6 +165,16 @@
 	o.log.Error("fault", "kind", f.Kind, "query", f.ID, "history", f.History)
 }
 
+// Changed implements dispatch.Observer.
+func (o *observer) Changed(version uint64, s choice.Settings) {
+	o.classes = nil
+	for _, c := range s.Classes {
+		o.classes = append(o.classes, c.Name)
+	}
+	o.version.Set(float64(version))
+	o.limit.Set(float64(s.MaxHeld))
+}
+
 // Note implements dispatch.Observer.
 func (o *observer) Note(text string) { o.log.Info(text, "from", "module") }
 
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -37,8 +37,7 @@
 type Options struct {
 	Log          *slog.Logger
 	Clock        dispatch.Clock
-	Classes      *classify.Table
-	Deadlines    []time.Duration // by class, where a call states none
+	Tables       Tables
 	Auth         Authenticator
 	Seal         *seal.Sealer
 	WayBack      time.Duration // kept of each deadline for the way back; default 10 ms, a tenth of it at most
@@ -52,6 +51,18 @@
 	PassHeaders  []string      // call headers passed on to nodes
 }
 
+// Tables are what changes with the settings: the classification and the class's deadlines, where a call states none.
+type Tables struct {
+	Version   uint64 // of the settings that number the classes
+	Classes   *classify.Table
+	Deadlines []time.Duration // by class
+}
+
+// SetTables puts other tables in force for the calls that come from now on.
+func (f *Front) SetTables(t Tables) {
+	f.tables.Store(&t)
+}
+
 func (o *Options) defaults() {
 	set := func(d *time.Duration, v time.Duration) {
 		if *d == 0 {
@@ -80,7 +91,8 @@
 	prefix  string
 	serial  atomic.Uint64
 	schemas *schemaCache
-	ruled   []atomic.Int64 // queries by rule; the last counts those that no rule fitted
+	tables  atomic.Pointer[Tables]
+	unruled atomic.Int64
 
 	mu      sync.Mutex
 	running map[string]map[string]bool // ids of running queries by their ticket's serial number
@@ -89,13 +101,14 @@
 // New returns a front that hands its queries to p.
 func New(o Options, p Poster) *Front {
 	o.defaults()
-	return &Front{opt: o, post: p, prefix: fmt.Sprintf("%08x", rand.Uint32()),
-		schemas: newSchemaCache(o.SchemaMost, o.SchemaLife),
-		ruled:   make([]atomic.Int64, len(o.Classes.Rules)+1), running: map[string]map[string]bool{}}
+	f := &Front{opt: o, post: p, prefix: fmt.Sprintf("%08x", rand.Uint32()),
+		schemas: newSchemaCache(o.SchemaMost, o.SchemaLife), running: map[string]map[string]bool{}}
+	f.SetTables(o.Tables)
+	return f
 }
 
 // Unruled counts the queries that no rule and no hint gave a class: they fell in the default one.
-func (f *Front) Unruled() int64 { return f.ruled[len(f.ruled)-1].Load() }
+func (f *Front) Unruled() int64 { return f.unruled.Load() }
 
 // ServerOptions are what a gRPC server needs for this front. Messages are read whole, so their size is bounded: a
 // statement and its parameters must fit; headers of more than 64 KiB are turned away by the transport.
@@ -199,14 +212,15 @@
 			len(w.statement), f.opt.MaxStatement)
 	}
 	f.read(c)
-	traits, err := f.opt.Classes.Classify(classify.Facts{User: c.user, Header: c.header, Option: c.option,
+	tables := f.tables.Load()
+	traits, err := tables.Classes.Classify(classify.Facts{User: c.user, Header: c.header, Option: c.option,
 		Statement: w.statement, Command: w.command})
 	if err != nil {
 		return dispatch.Verdict{}, status.Error(codes.InvalidArgument, err.Error())
 	}
 	f.count(traits)
 	now := f.opt.Clock.Now()
-	left := f.opt.Deadlines[traits.Class]
+	left := tables.Deadlines[traits.Class]
 	if d, ok := c.ctx.Deadline(); ok {
 		left = time.Until(d)
 	}
@@ -217,7 +231,7 @@
 		}
 	}
 	a := &asked{done: make(chan dispatch.Verdict, 1)}
-	q := &dispatch.Query{ID: fmt.Sprintf("%s-%d", f.prefix, f.serial.Add(1)), Class: traits.Class,
+	q := &dispatch.Query{ID: fmt.Sprintf("%s-%d", f.prefix, f.serial.Add(1)), Version: tables.Version, Class: traits.Class,
 		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
 		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Due: now + left.Microseconds(), Work: w.call,
 		Client: a}
@@ -233,17 +247,12 @@
 	}
 }
 
+// count counts what no rule and no hint gave a class.
 func (f *Front) count(t classify.Traits) {
-	if t.Hinted {
+	if t.Hinted || t.Rule != "" {
 		return
 	}
-	for i := range f.opt.Classes.Rules {
-		if f.opt.Classes.Rules[i].Name == t.Rule && t.Rule != "" {
-			f.ruled[i].Add(1)
-			return
-		}
-	}
-	f.ruled[len(f.ruled)-1].Add(1)
+	f.unruled.Add(1)
 }
 
 func (f *Front) enter(serial, id string) {
--- a/front/flightsql/status.go
+++ b/front/flightsql/status.go
@@ -23,6 +23,7 @@
 }{
 	dispatch.ReasonOverload:  {codes.ResourceExhausted, "refused: no room to answer in time; trying again does no harm"},
 	dispatch.ReasonFull:      {codes.ResourceExhausted, "refused: this dispatcher holds all it may; trying again does no harm"},
+	dispatch.ReasonClassGone: {codes.Unavailable, "refused: the settings changed while it was on its way; trying again does no harm"},
 	dispatch.ReasonDraining:  {codes.Unavailable, "refused: this dispatcher stops; another one may be tried at once"},
 	dispatch.ReasonAttempt:   {codes.Aborted, "failed: the query may have run or not"},
 	dispatch.ReasonBroken:    {codes.DataLoss, "failed: the answer broke off after it had begun"},
--- /dev/null
+++ b/nodelist/eds.go
@@ -0,0 +1,63 @@
+package nodelist
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"strconv"
+	"time"
+
+	corev3 "github.com/envoyproxy/go-control-plane/envoy/config/core/v3"
+	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
+
+	"embershunt/choice"
+)
+
+// MetadataKey is the filter metadata of an endpoint with our own words: name, kind, cell, started (Unix seconds).
+const MetadataKey = "embershunt"
+
+// FromAssignment reads a list out of xDS v3 (endpoint.proto). The locality's zone is the hall, the health status DRAINING
+// is a drain; UNHEALTHY and TIMEOUT endpoints are left to the module's own judgement.
+func FromAssignment(c *endpointv3.ClusterLoadAssignment, names Names) ([]Node, error) {
+	nodes := []Node{}
+	for _, l := range c.GetEndpoints() {
+		hall, err := names.Hall(l.GetLocality().GetZone())
+		if err != nil {
+			return nil, err
+		}
+		for _, p := range l.GetLbEndpoints() {
+			n, err := row(p, hall, names)
+			if err != nil {
+				return nil, err
+			}
+			nodes = append(nodes, n)
+		}
+	}
+	return nodes, nil
+}
+
+func row(p *endpointv3.LbEndpoint, hall int, names Names) (Node, error) {
+	a := p.GetEndpoint().GetAddress().GetSocketAddress()
+	n := Node{Hall: hall, Address: net.JoinHostPort(a.GetAddress(), strconv.Itoa(int(a.GetPortValue()))),
+		Weight: float64(p.GetLoadBalancingWeight().GetValue())}
+	if a == nil {
+		return n, errors.New("an endpoint without a socket address")
+	}
+	n.ID = n.Address
+	fields := p.GetMetadata().GetFilterMetadata()[MetadataKey].GetFields()
+	if v := fields["name"].GetStringValue(); v != "" {
+		n.ID = v
+	}
+	var err error
+	if n.Kind, err = names.Kind(fields["kind"].GetStringValue()); err != nil {
+		return n, fmt.Errorf("node %q: %w", n.ID, err)
+	}
+	n.Cell = int(fields["cell"].GetNumberValue())
+	if at := fields["started"].GetNumberValue(); at > 0 {
+		n.Started = time.UnixMicro(int64(at * 1e6))
+	}
+	if p.GetHealthStatus() == corev3.HealthStatus_DRAINING {
+		n.State = choice.Draining
+	}
+	return n, nil
+}
--- a/standin/control.go
+++ b/standin/control.go
@@ -1,8 +1,11 @@
 package standin
 
 import (
+	"context"
 	"errors"
+	"maps"
 	"net"
+	"slices"
 	"strconv"
 	"sync"
 	"time"
@@ -22,35 +25,53 @@
 	Started                   time.Time
 }
 
-// Control is a stand-in control service: xDS v3 endpoint discovery on ADS streams, state of the world.
+// Control is a stand-in control service: xDS v3 on ADS streams, state of the world and delta, for the node list and any
+// other resource type.
 type Control struct {
 	discoveryv3.UnimplementedAggregatedDiscoveryServiceServer
 	cluster string
 	address string
 
-	mu      sync.Mutex
-	rows    []Listed
-	bad     string // "malformed" or "empty": what is sent instead of the rows
+	mu        sync.Mutex
+	rows      []Listed
+	resources map[string]resource // by type URL
+	version   int
+	changed   chan struct{} // closed at each change
+	server    *grpc.Server
+	done      sync.WaitGroup
+	replies   []Reply
+	pushed    []Push
+	streams   []time.Time // when each stream began
+}
+
+type resource struct {
+	name    string
+	any     *anypb.Any // nil: an empty response
 	version int
-	changed chan struct{} // closed at each change
-	server  *grpc.Server
-	done    sync.WaitGroup
-	acks    map[string]string // last accepted version by dispatcher
-	nacks   []string
-	pushed  []Push
 }
 
-// Push is one list as it was sent to one dispatcher.
+// Push is one node list as it was sent to one dispatcher.
 type Push struct {
 	At         time.Time
 	Dispatcher string
 	Draining   []string
 	Healthy    []string
+	Nonce      string
+	Refused    bool
+}
+
+// Reply is what one dispatcher said of one response.
+type Reply struct {
+	At             time.Time
+	Dispatcher     string
+	Type           string
+	Version, Nonce string
+	Refused        string // the reasons; "" is an ACK
 }
 
 // NewControl returns a service that does not listen yet.
 func NewControl(cluster string) *Control {
-	return &Control{cluster: cluster, changed: make(chan struct{}), acks: map[string]string{}}
+	return &Control{cluster: cluster, changed: make(chan struct{}), resources: map[string]resource{}}
 }
 
 // Start listens, at the address it had before if it had one.
@@ -93,92 +114,192 @@
 
 // Set changes the list and pushes it; bad is "", "malformed" or "empty".
 func (c *Control) Set(rows []Listed, bad string) {
+	list := &endpointv3.ClusterLoadAssignment{ClusterName: c.cluster}
+	if bad == "" {
+		for _, r := range rows {
+			list.Endpoints = append(list.Endpoints, r.endpoint())
+		}
+	}
+	any, err := anypb.New(list)
+	if err != nil || bad == "malformed" {
+		any = &anypb.Any{TypeUrl: edsType, Value: []byte{0xff, 0xff, 0xff}}
+	}
+	c.mu.Lock()
+	if c.rows = rows; bad != "" {
+		c.rows = nil
+	}
+	c.mu.Unlock()
+	c.Put(c.cluster, any)
+}
+
+// Put changes one resource, whose Any tells its type, and pushes it.
+func (c *Control) Put(name string, resources ...*anypb.Any) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.rows, c.bad = rows, bad
 	c.version++
+	for _, a := range resources {
+		c.resources[a.GetTypeUrl()] = resource{name, a, c.version}
+	}
 	close(c.changed)
 	c.changed = make(chan struct{})
 }
 
-// Pushed returns what was sent to whom.
-func (c *Control) Pushed() []Push {
+// Pushed returns the node lists that were sent and not turned down.
+func (c *Control) Pushed() (out []Push) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]Push(nil), c.pushed...)
+	for _, p := range c.pushed {
+		if !p.Refused {
+			out = append(out, p)
+		}
+	}
+	return out
 }
 
-// Nacks returns the reasons of lists that dispatchers turned down.
-func (c *Control) Nacks() []string {
+// Replies returns what dispatchers said, in order.
+func (c *Control) Replies() []Reply {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	return append([]string(nil), c.nacks...)
+	return append([]Reply(nil), c.replies...)
 }
 
-// StreamAggregatedResources implements the service.
-func (c *Control) StreamAggregatedResources(s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
-	first, err := s.Recv()
-	if err != nil {
-		return err
+// Streams returns when each stream began, in order.
+func (c *Control) Streams() []time.Time {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return append([]time.Time(nil), c.streams...)
+}
+
+// Nacks returns the reasons of responses that dispatchers turned down.
+func (c *Control) Nacks() (out []string) {
+	for _, r := range c.Replies() {
+		if r.Refused != "" {
+			out = append(out, r.Refused)
+		}
+	}
+	return out
+}
+
+// session is one stream in either variant.
+type session struct {
+	who  string
+	want map[string]bool // types asked for
+	sent map[string]int  // version sent last, by type
+	news chan struct{}   // a token while something was asked for
+}
+
+// heard books what a dispatcher asks or replies.
+func (c *Control) heard(s *session, who, url, version, nonce, refused string, subscribes bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if s.who == "" {
+		s.who = who
+		c.streams = append(c.streams, time.Now())
+	}
+	if subscribes && !s.want[url] {
+		s.want[url] = true
+		select {
+		case s.news <- struct{}{}:
+		default:
+		}
+	}
+	if nonce == "" {
+		return
+	}
+	c.replies = append(c.replies, Reply{time.Now(), s.who, url, version, nonce, refused})
+	for i := range c.pushed {
+		if p := &c.pushed[i]; refused != "" && url == edsType && p.Dispatcher == s.who && p.Nonce == nonce {
+			p.Refused = true
+		}
+	}
+}
+
+// next is what a stream has not been sent yet.
+func (c *Control) next(s *session) (out []resource, changed <-chan struct{}) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	for _, url := range slices.Sorted(maps.Keys(c.resources)) {
+		r := c.resources[url]
+		if !s.want[url] || s.sent[url] == r.version {
+			continue
+		}
+		s.sent[url] = r.version
+		out = append(out, r)
+		if url == edsType && r.any.GetValue() != nil && r.any.GetValue()[0] != 0xff {
+			p := Push{At: time.Now(), Dispatcher: s.who, Nonce: strconv.Itoa(r.version)}
+			for _, row := range c.rows {
+				if row.Draining {
+					p.Draining = append(p.Draining, row.Name)
+				} else {
+					p.Healthy = append(p.Healthy, row.Name)
+				}
+			}
+			c.pushed = append(c.pushed, p)
+		}
 	}
-	who := first.GetNode().GetId()
+	return out, c.changed
+}
+
+// serve runs a stream: recv books one request, send sends one resource.
+func (c *Control) serve(ctx context.Context, recv func(*session) error, send func(resource) error) error {
+	s := &session{want: map[string]bool{}, sent: map[string]int{}, news: make(chan struct{}, 1)}
 	broken := make(chan error, 1)
 	go func() {
 		for {
-			r, err := s.Recv()
-			if err != nil {
+			if err := recv(s); err != nil {
 				broken <- err
 				return
 			}
-			c.mu.Lock()
-			if r.GetErrorDetail() != nil {
-				c.nacks = append(c.nacks, r.GetErrorDetail().GetMessage())
-			} else {
-				c.acks[who] = r.GetVersionInfo()
-			}
-			c.mu.Unlock()
 		}
 	}()
 	for {
-		answer, changed := c.answer(who)
-		if err := s.Send(answer); err != nil {
-			return err
+		resources, changed := c.next(s)
+		for _, r := range resources {
+			if err := send(r); err != nil {
+				return err
+			}
 		}
 		select {
 		case <-changed:
+		case <-s.news:
 		case err := <-broken:
 			return err
-		case <-s.Context().Done():
+		case <-ctx.Done():
 			return errors.New("stream ended")
 		}
 	}
 }
 
-func (c *Control) answer(who string) (*discoveryv3.DiscoveryResponse, <-chan struct{}) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	version := strconv.Itoa(c.version)
-	out := &discoveryv3.DiscoveryResponse{VersionInfo: version, Nonce: version, TypeUrl: edsType}
-	push := Push{At: time.Now(), Dispatcher: who}
-	list := &endpointv3.ClusterLoadAssignment{ClusterName: c.cluster}
-	if c.bad == "" {
-		for _, r := range c.rows {
-			list.Endpoints = append(list.Endpoints, r.endpoint())
-			if r.Draining {
-				push.Draining = append(push.Draining, r.Name)
-			} else {
-				push.Healthy = append(push.Healthy, r.Name)
-			}
+// StreamAggregatedResources implements the service, state of the world.
+func (c *Control) StreamAggregatedResources(s discoveryv3.AggregatedDiscoveryService_StreamAggregatedResourcesServer) error {
+	return c.serve(s.Context(), func(o *session) error {
+		r, err := s.Recv()
+		if err == nil {
+			c.heard(o, r.GetNode().GetId(), r.GetTypeUrl(), r.GetVersionInfo(), r.GetResponseNonce(),
+				r.GetErrorDetail().GetMessage(), true)
 		}
-	}
-	any, err := anypb.New(list)
-	if err != nil || c.bad == "malformed" {
-		any = &anypb.Any{TypeUrl: edsType, Value: []byte{0xff, 0xff, 0xff}}
-	} else {
-		c.pushed = append(c.pushed, push)
-	}
-	out.Resources = []*anypb.Any{any}
-	return out, c.changed
+		return err
+	}, func(r resource) error {
+		v := strconv.Itoa(r.version)
+		return s.Send(&discoveryv3.DiscoveryResponse{VersionInfo: v, Nonce: v, TypeUrl: r.any.GetTypeUrl(),
+			Resources: []*anypb.Any{r.any}})
+	})
+}
+
+// DeltaAggregatedResources implements the service, incrementally.
+func (c *Control) DeltaAggregatedResources(s discoveryv3.AggregatedDiscoveryService_DeltaAggregatedResourcesServer) error {
+	return c.serve(s.Context(), func(o *session) error {
+		r, err := s.Recv()
+		if err == nil {
+			c.heard(o, r.GetNode().GetId(), r.GetTypeUrl(), "", r.GetResponseNonce(), r.GetErrorDetail().GetMessage(),
+				len(r.GetResourceNamesSubscribe()) > 0)
+		}
+		return err
+	}, func(r resource) error {
+		v := strconv.Itoa(r.version)
+		return s.Send(&discoveryv3.DeltaDiscoveryResponse{SystemVersionInfo: v, Nonce: v, TypeUrl: r.any.GetTypeUrl(),
+			Resources: []*discoveryv3.Resource{{Name: r.name, Version: v, Resource: r.any}}})
+	})
 }
 
 const edsType = "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment"
