--- /dev/null
+++ b/control/stream/stream_test.go
@@ -0,0 +1,188 @@
+package stream
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"embershunt/control"
+	"embershunt/control/configv1"
+	"embershunt/nodelist"
+	"embershunt/standin"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// tape writes down what a stream hands over, and acknowledges it.
+type tape struct {
+	mu      sync.Mutex
+	offered []control.Offered
+	lost    int
+	s       *Stream
+	silent  bool
+}
+
+func (t *tape) Offered(ev control.Offered) {
+	t.mu.Lock()
+	t.offered = append(t.offered, ev)
+	t.mu.Unlock()
+	if !t.silent {
+		t.s.Reply(context.Background(), Reply{Kind: ev.Kind, Version: ev.Version, Nonce: ev.Nonce})
+	}
+}
+
+func (t *tape) Lost(error) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	t.lost++
+}
+
+func (t *tape) count() (offered, lost int) {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return len(t.offered), t.lost
+}
+
+func until(t testing.TB, what string, good func() bool) {
+	t.Helper()
+	for begin := time.Now(); !good(); <-time.After(time.Millisecond) {
+		if time.Since(begin) > 10*time.Second {
+			t.Fatal("not seen in 10 s: ", what)
+		}
+	}
+}
+
+// start runs one stream until the test ends.
+func start(t *testing.T, o Options) *tape {
+	h := &tape{}
+	h.s = New(o, h)
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- h.s.Run(ctx) }()
+	t.Cleanup(func() {
+		cancel()
+		if err := <-done; err != nil {
+			t.Error(err)
+		}
+	})
+	return h
+}
+
+func service(t *testing.T) *standin.Control {
+	c := standin.NewControl("nodes")
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(c.Stop)
+	return c
+}
+
+func packed(t testing.TB, m proto.Message) *anypb.Any {
+	a, err := anypb.New(m)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return a
+}
+
+// A service that flaps, hangs before its first answer, offers types that nobody asked for, or many versions at once.
+func TestServicesThatMisbehave(t *testing.T) {
+	for _, delta := range []bool{false, true} {
+		t.Run(fmt.Sprintf("delta=%v", delta), func(t *testing.T) {
+			c := service(t)
+			h := start(t, Options{Address: c.Address(), Cluster: "nodes", Node: "d", Settings: true, Delta: delta,
+				Least: time.Millisecond, Most: 20 * time.Millisecond})
+			until(t, "a stream", func() bool { return len(c.Streams()) == 1 })
+			// It hangs: nothing is offered, nothing is lost, nobody is disturbed.
+			if o, l := h.count(); o != 0 || l != 0 {
+				t.Errorf("offered %d, lost %d", o, l)
+			}
+			c.Put("x", &anypb.Any{TypeUrl: "type.googleapis.com/nobody.asked.For", Value: []byte{1}})
+			for n := uint64(1); n <= 50; n++ {
+				c.Put(SettingsName, packed(t, &configv1.Tenants{Set: n}))
+			}
+			until(t, "the newest version acknowledged", func() bool {
+				r := c.Replies()
+				h.mu.Lock()
+				defer h.mu.Unlock()
+				if len(h.offered) == 0 {
+					return false
+				}
+				last := h.offered[len(h.offered)-1]
+				return last.Message.(*configv1.Tenants).GetSet() == 50 && len(r) > 0 && r[len(r)-1].Nonce == last.Nonce
+			})
+			before, _ := h.count()
+			for range 5 {
+				c.Stop()
+				if err := c.Start(); err != nil {
+					t.Fatal(err)
+				}
+				n := len(c.Streams())
+				until(t, "a new stream", func() bool { return len(c.Streams()) > n })
+			}
+			until(t, "the version offered again", func() bool { o, l := h.count(); return o > before && l >= 5 })
+		})
+	}
+}
+
+// Many streams that were lost together do not come back together.
+func TestReconnectsAreSpread(t *testing.T) {
+	const n = 60
+	peak := func(random func() float64) int {
+		c := service(t)
+		for i := range n {
+			start(t, Options{Address: c.Address(), Cluster: "nodes", Node: fmt.Sprint(i), Least: 400 * time.Millisecond,
+				Most: 400 * time.Millisecond, Random: random})
+		}
+		until(t, "all streams", func() bool { return len(c.Streams()) == n })
+		c.Stop()
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		until(t, "all streams again", func() bool { return len(c.Streams()) >= 2*n })
+		back := c.Streams()[n:]
+		most := 0
+		for i, at := range back {
+			k, _ := slices.BinarySearchFunc(back, at.Add(40*time.Millisecond), time.Time.Compare)
+			most = max(most, k-i)
+		}
+		return most
+	}
+	together, spread := peak(func() float64 { return 1 }), peak(nil)
+	t.Logf("of %d reconnects within 40 ms: %d at most without jitter, %d with it", n, together, spread)
+	if spread*2 > together {
+		t.Errorf("at most %d within 40 ms, without jitter %d: they are not spread", spread, together)
+	}
+}
+
+// Whatever a service sends is read or turned down, and nothing panics; what is read goes through the judge.
+func FuzzResponse(f *testing.F) {
+	for k := range typeURLs {
+		f.Add(int(k), typeURLs[k], []byte{8, 1})
+	}
+	f.Add(0, typeURLs[control.Classes], mustMarshal(&configv1.Classes{Set: 1, Classes: []*configv1.Class{{Name: "c", AimUs: 1, DeadlineUs: 2}}}))
+	f.Fuzz(func(t *testing.T, kind int, url string, value []byte) {
+		k := control.Kind(((kind % 5) + 5) % 5)
+		s := New(Options{Cluster: "nodes", Names: nodelist.Names{Halls: []string{"h"}, Kinds: []string{"k"}}}, &tape{})
+		ev := control.Offered{Kind: k, Version: "1", Nonce: "1"}
+		s.read(k, []*anypb.Any{{TypeUrl: url, Value: value}}, &ev)
+		if ev.Bad == nil && k != control.Nodes && ev.Message == nil {
+			t.Fatal("neither read nor turned down")
+		}
+	})
+}
+
+func mustMarshal(m proto.Message) []byte {
+	b, err := proto.Marshal(m)
+	if err != nil {
+		panic(err)
+	}
+	return b
+}
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -371,3 +371,34 @@
 		t.Errorf("got  %s\nwant %s", got, want)
 	}
 }
+
+// BenchmarkChange is the pause of the loop while settings change, by the queries in flight.
+func BenchmarkChange(b *testing.B) {
+	for _, n := range []int{0, 100, 1000, 10000} {
+		b.Run(fmt.Sprintf("inflight=%d", n), func(b *testing.B) {
+			log := &quiet{}
+			s := choice.Settings{Peers: 1, MaxAttempts: 3, Kinds: []choice.Kind{{Cores: 100000}}, Classes: []choice.Class{
+				{Name: "lookup", Worth: 1, Aim: 60e6, Deadline: 60e6}, {Name: "report", Worth: 1, Aim: 60e6, Deadline: 60e6}}}
+			core, err := NewCore(1, s, log, log)
+			if err != nil {
+				b.Fatal(err)
+			}
+			now := Micros(1e9)
+			core.Step(now, []Event{Told{choice.Engines{Whole: true, Rows: []choice.Engine{{ID: "n"}}}}})
+			for i := range n {
+				core.Step(now, []Event{Taken{&Query{ID: fmt.Sprint(i), Class: i % 2, Cost: 1e3, Due: now + 60e6, Client: log}}})
+			}
+			if core.Held() != n {
+				b.Fatalf("%d held", core.Held())
+			}
+			version := uint64(0)
+			for b.Loop() {
+				version++
+				s.Classes[0], s.Classes[1] = s.Classes[1], s.Classes[0]
+				if err := core.change(Change{Version: version, Settings: s}); err != nil {
+					b.Fatal(err)
+				}
+			}
+		})
+	}
+}
--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -16,7 +16,10 @@
 	"google.golang.org/grpc/credentials/insecure"
 	"google.golang.org/grpc/metadata"
 
+	"embershunt/control"
+	"embershunt/control/stream"
 	"embershunt/internal/flightwire"
+	"embershunt/standin"
 )
 
 // byteProxy passes every call on to one node, unopened: the least that anything between a client and a node can do.
@@ -188,3 +191,62 @@
 		})
 	}
 }
+
+// BenchmarkTenVersions compares a load under which ten versions of the settings come into force with the same load under
+// which none does, in turn: shares of queries served, and how much the 99th percentile differs.
+func BenchmarkTenVersions(b *testing.B) {
+	c := standin.NewControl("nodes")
+	if err := c.Start(); err != nil {
+		b.Fatal(err)
+	}
+	defer c.Stop()
+	r := controlled(b, c, 2, "")
+	c.Set(listed(r), "")
+	until(b, "the node list", func() bool { s, _ := r.d.ControlStatus(); return s.Versions["nodes"] != "" })
+	number := uint64(0)
+	push := func() {
+		number++
+		c.Put(stream.SettingsName, settings(b, number, func(s *control.Set) { s.Limits.Attempts = int32(2 + number%2) })...)
+		until(b, "a version in force", func() bool { s, _ := r.d.ControlStatus(); return s.Number == number })
+	}
+	push()
+	load := func(versions int) (served, asked int, p99 time.Duration) {
+		done := make(chan time.Duration, 1000)
+		const n, gap = 600, 4 * time.Millisecond
+		for i := range n {
+			if versions > 0 && i%(n/versions) == n/versions/2 {
+				push()
+			}
+			go func() {
+				ctx, cancel := context.WithTimeout(context.Background(), 3*time.Second)
+				defer cancel()
+				begin := time.Now()
+				if _, err := r.query(ctx, "SELECT 1 /* work_ms=10 cost_ms=10 */"); err != nil {
+					done <- -1
+					return
+				}
+				done <- time.Since(begin)
+			}()
+			<-time.After(gap)
+		}
+		var took []time.Duration
+		for range n {
+			if d := <-done; d >= 0 {
+				took = append(took, d)
+			}
+		}
+		slices.Sort(took)
+		return len(took), n, took[len(took)*99/100]
+	}
+	var served, asked [2]int
+	var p99 [2]time.Duration
+	for b.Loop() {
+		for i, versions := range []int{0, 10} {
+			s, a, p := load(versions)
+			served[i], asked[i], p99[i] = served[i]+s, asked[i]+a, p99[i]+p
+		}
+	}
+	b.ReportMetric(float64(served[0])/float64(asked[0]), "served-without")
+	b.ReportMetric(float64(served[1])/float64(asked[1]), "served-with")
+	b.ReportMetric(float64(p99[1])/float64(p99[0]), "p99-with/without")
+}
--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -48,7 +48,7 @@
 	}
 }
 
-func controlled(t *testing.T, c *standin.Control, nodes int, more string) *rig {
+func controlled(t testing.TB, c *standin.Control, nodes int, more string) *rig {
 	return newRigWith(t, nodes, func(string) string { return "{}" }, fmt.Sprintf(`, "control": {"address": %q, "cluster": "nodes",
 		"reconnect_most": "300ms" %s}`, c.Address(), more))
 }
--- /dev/null
+++ b/dispatcher/many_test.go
@@ -0,0 +1,129 @@
+package dispatcher_test
+
+import (
+	"context"
+	"flag"
+	"fmt"
+	"math/rand/v2"
+	"path/filepath"
+	"slices"
+	"testing"
+	"time"
+
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"embershunt/config"
+	"embershunt/control"
+	"embershunt/control/stream"
+	"embershunt/dispatcher"
+	"embershunt/standin"
+)
+
+var many = flag.Int("many", 8, "dispatchers in TestManyDispatchers; 140 is the size that is written down")
+
+// Many dispatchers on one control service: every state and reply is right, at each version and with the service gone.
+func TestManyDispatchers(t *testing.T) {
+	c := standin.NewControl("nodes")
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	node := standin.NewNode("node-0", standin.Model{}, 1)
+	if err := node.Start("127.0.0.1:0", false); err != nil {
+		t.Fatal(err)
+	}
+	defer node.Die()
+	c.Set([]standin.Listed{{Name: "node-0", Address: node.Address}}, "")
+	ctx, cancel := context.WithCancel(t.Context())
+	defer cancel()
+	var all []*dispatcher.Dispatcher
+	ended := make(chan error, *many)
+	folder := t.TempDir()
+	for i := range *many {
+		cfg, err := config.Parse("many", fmt.Appendf(nil, `{"name": "d%d", "any_user": true, "listen": {"flightsql": "127.0.0.1:0"},
+			"dispatchers": %d, "number": %d, "kinds": [{"name": "k", "cores": 8}], "classes": [{"name": "lookup", "aim": "1s", "deadline": "2s"}],
+			"control": {"address": %q, "cluster": "nodes", "store": %q, "delta": %v, "reconnect_most": "500ms"}}`, i, *many, i, c.Address(),
+			filepath.Join(folder, fmt.Sprint(i)), i%2 == 1))
+		if err != nil {
+			t.Fatal(err)
+		}
+		d, err := dispatcher.New(cfg, dispatcher.Options{Seed: rand.Uint64()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		all = append(all, d)
+		go func() { ended <- d.Run(ctx) }()
+	}
+	defer func() {
+		cancel()
+		for range all {
+			<-ended
+		}
+	}()
+	replies := func(refused bool) map[string]int { // by dispatcher
+		out := map[string]int{}
+		for _, r := range c.Replies() {
+			if (r.Refused != "") == refused && r.Type != stream.TypeURL(control.Nodes) {
+				out[r.Dispatcher]++
+			}
+		}
+		return out
+	}
+	everywhere := func(what string, number uint64, acks, nacks int, push func()) {
+		t.Helper()
+		begin, before := time.Now(), len(c.Replies())
+		push()
+		until(t, what, func() bool {
+			a, n := replies(false), replies(true)
+			for _, d := range all {
+				s, _ := d.ControlStatus()
+				if s.Number != number {
+					return false
+				}
+			}
+			for i := range all {
+				if name := fmt.Sprintf("d%d", i); a[name] != acks || n[name] != nacks {
+					return false
+				}
+			}
+			return true
+		})
+		last := begin
+		for _, r := range c.Replies()[before:] {
+			if r.At.After(last) {
+				last = r.At
+			}
+		}
+		t.Logf("%-28s set %d in force at all %d, %d ACKs and %d NACKs each so far; push to last reply %v", what, number, len(all),
+			acks, nacks, last.Sub(begin).Round(time.Millisecond))
+	}
+	until(t, "all streams up", func() bool { return len(c.Streams()) == *many })
+	put := func(a []*anypb.Any) func() { return func() { c.Put(stream.SettingsName, a...) } }
+	everywhere("a good version", 1, 4, 0, put(settings(t, 1, nil)))
+	everywhere("a malformed one", 1, 4, 1, put([]*anypb.Any{{TypeUrl: stream.TypeURL(control.Limits), Value: []byte{0xff}}}))
+	everywhere("an older number", 1, 4, 5, put(settings(t, 1, func(s *control.Set) { s.Limits.Attempts = 2 })))
+	everywhere("a good version after them", 2, 8, 5, put(settings(t, 2, nil)))
+	c.Stop()
+	for _, d := range all {
+		if s, _ := d.ControlStatus(); s.Number != 2 {
+			t.Errorf("with the service gone: set %d", s.Number)
+		}
+	}
+	<-time.After(1200 * time.Millisecond) // so long out of reach that every wait is at its bound
+	begin, before := time.Now(), len(c.Streams())
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	everywhere("the service back", 2, 12, 5, func() {})
+	var back []time.Duration
+	for _, at := range c.Streams()[before:] {
+		back = append(back, at.Sub(begin))
+	}
+	slices.Sort(back)
+	peak := 0
+	for i := range back {
+		n, _ := slices.BinarySearch(back, back[i]+50*time.Millisecond)
+		peak = max(peak, n-i)
+	}
+	t.Logf("reconnects: %d over %v, at most %d within 50 ms", len(back), (back[len(back)-1] - back[0]).Round(time.Millisecond), peak)
+}
