--- /dev/null
+++ b/cmd/embercontrol/main.go
@@ -0,0 +1,180 @@
+// Command embercontrol is a stand-in control service: it streams node lists and numbered settings from a folder to
+// dispatchers, a share of them first, and shows what each one said.
+package main
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"os"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
+	"text/tabwriter"
+	"time"
+
+	"github.com/alecthomas/kong"
+	"google.golang.org/protobuf/proto"
+	"google.golang.org/protobuf/types/known/anypb"
+
+	"embershunt/config"
+	"embershunt/control"
+	"embershunt/standin"
+)
+
+var cli struct {
+	Folder  string        `arg:"" type:"existingdir" help:"Folder with nodes.jsonc and versions of the settings, NUMBER.jsonc. It is read again as it changes."`
+	Listen  string        `short:"l" default:"127.0.0.1:18000" help:"Address for dispatchers."`
+	Status  string        `help:"Address for GET / with the table of dispatchers; none if empty."`
+	Cluster string        `default:"query-nodes" help:"Name of the node list."`
+	Stages  []float64     `default:"0.1,0.5,1" help:"Shares of the dispatchers that get a new version, stage by stage."`
+	Hold    time.Duration `default:"10s" help:"Least time in a stage after its last acknowledgement."`
+	Refusal float64       `default:"0.05" help:"Share of a stage's dispatchers whose refusal halts the rollout."`
+}
+
+// Exit codes: 0 ended by a signal, 1 it cannot serve, 2 wrong usage.
+func main() {
+	kong.Parse(&cli, kong.Name("embercontrol"), kong.Description("Streams node lists and settings to dispatchers."))
+	if err := run(); err != nil {
+		fmt.Fprintln(os.Stderr, "embercontrol:", err)
+		os.Exit(1)
+	}
+}
+
+// service is the folder as it was read last.
+type service struct {
+	control *standin.Control
+	rollout *control.Rollout
+	begin   time.Time
+	known   map[uint64]bool
+	list    string
+	told    map[string]string // mistakes already printed, by file
+}
+
+func run() error {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	s := &service{control: standin.NewControl(cli.Cluster), begin: time.Now(), known: map[uint64]bool{},
+		told: map[string]string{}, rollout: control.NewRollout(0, cli.Stages, cli.Hold.Microseconds(), cli.Refusal)}
+	s.control.Stage(s.rollout.Offer, func(d string, n uint64, refused string) { s.rollout.Replied(s.now(), d, n, refused) })
+	s.read()
+	s.control.At(cli.Listen)
+	if err := s.control.Start(); err != nil {
+		return err
+	}
+	defer s.control.Stop()
+	fmt.Println("serves", s.control.Address())
+	if cli.Status != "" {
+		server := &http.Server{Addr: cli.Status, ReadHeaderTimeout: 5 * time.Second,
+			Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, s.table()) })}
+		go server.ListenAndServe()
+		defer server.Close()
+	}
+	tick := time.NewTicker(500 * time.Millisecond)
+	defer tick.Stop()
+	for last := ""; ; {
+		select {
+		case <-ctx.Done():
+			return nil
+		case <-tick.C:
+		}
+		s.read()
+		s.control.Locked(func() { s.rollout.Look(s.now()) })
+		if t := s.table(); t != last {
+			fmt.Println(t)
+			last = t
+		}
+	}
+}
+
+func (s *service) now() control.Micros { return time.Since(s.begin).Microseconds() + 1 }
+
+// read takes up what is new in the folder. A file with mistakes is told once and left alone.
+func (s *service) read() {
+	files, _ := filepath.Glob(filepath.Join(cli.Folder, "*.jsonc"))
+	newest := uint64(0)
+	for _, f := range files {
+		text, err := os.ReadFile(f)
+		base := strings.TrimSuffix(filepath.Base(f), ".jsonc")
+		if err == nil && base == "nodes" {
+			err = s.nodes(f, text)
+		} else if n, bad := strconv.ParseUint(base, 10, 64); err == nil && bad == nil && n > 0 && !s.known[n] {
+			if err = s.settings(f, n, text); err == nil {
+				newest = max(newest, n)
+			}
+		}
+		if err != nil && s.told[f] != err.Error() {
+			s.told[f] = err.Error()
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+	if newest > 0 {
+		s.control.Locked(func() { s.rollout.Begin(s.now(), newest) })
+	}
+}
+
+func (s *service) settings(file string, n uint64, text []byte) error {
+	var parts control.FileParts
+	if err := config.Decode(file, text, &parts, nil); err != nil {
+		return err
+	}
+	set := parts.Set(n)
+	var all []*anypb.Any
+	for _, m := range []proto.Message{set.Classes, set.Tenants, set.Limits, set.Classification} {
+		a, err := anypb.New(m)
+		if err != nil {
+			return err
+		}
+		all = append(all, a)
+	}
+	s.known[n] = true
+	s.control.Locked(func() { s.control.AddSet(n, all) })
+	return nil
+}
+
+func (s *service) nodes(file string, text []byte) error {
+	if string(text) == s.list {
+		return nil
+	}
+	var list struct {
+		Nodes []config.Node `json:"nodes"`
+	}
+	if err := config.Decode(file, text, &list, nil); err != nil {
+		return err
+	}
+	var rows []standin.Listed
+	for _, n := range list.Nodes {
+		if n.State == "gone" {
+			continue
+		}
+		row := standin.Listed{Name: n.Name, Address: n.Address, Hall: n.Hall, Kind: n.Kind, Draining: n.State == "draining"}
+		if n.Started != "" {
+			at, err := time.Parse(time.RFC3339Nano, n.Started)
+			if err != nil {
+				return fmt.Errorf("%s: node %q: started: %w", file, n.Name, err)
+			}
+			row.Started = at
+		}
+		rows = append(rows, row)
+	}
+	s.list = string(text)
+	s.control.Set(rows, "")
+	return nil
+}
+
+// table shows where the rollout stands and what each dispatcher said.
+func (s *service) table() string {
+	var b strings.Builder
+	s.control.Locked(func() {
+		fmt.Fprintln(&b, s.rollout.State())
+		w := tabwriter.NewWriter(&b, 0, 4, 2, ' ', 0)
+		fmt.Fprintln(w, "dispatcher\tin force\trefused\treason")
+		for _, x := range s.rollout.Standings() {
+			fmt.Fprintf(w, "%s\t%d\t%d\t%s\n", x.Dispatcher, x.Number, x.Refused, x.Reason)
+		}
+		w.Flush()
+	})
+	return b.String()
+}
--- a/config/config.go
+++ b/config/config.go
@@ -45,6 +45,7 @@
 type Listen struct {
 	FlightSQL string `json:"flightsql"`
 	Metrics   string `json:"metrics"` // empty: none
+	Admin     string `json:"admin"`   // path of a Unix socket for emberctl; empty: none
 }
 
 // User may connect.
@@ -77,6 +78,7 @@
 	FloorCount  int      `json:"floor_count"`
 	RelistAfter Duration `json:"relist_after"` // a drained node without a new start is believed healthy after this
 	Reconnect   Duration `json:"reconnect_most"`
+	OperatorKey string   `json:"operator_key"` // Ed25519, hex; who holds the other half may override; empty: nobody
 }
 
 // Node is one row of a list in a file.
@@ -550,6 +552,9 @@
 			d.wrong("control", fmt.Sprintf("floor %v, floor_count %d, keep %d", k.Floor, k.FloorCount, k.Keep),
 				"floor 0 to 1, floor_count 0 or more, keep 2 to 1000")
 		}
+		if b, err := hex.DecodeString(k.OperatorKey); err != nil || len(b) != 0 && len(b) != 32 {
+			d.wrong("control.operator_key", fmt.Sprintf("%d characters", len(k.OperatorKey)), "64 hex digits, or none")
+		}
 		if k.RelistAfter < 0 || k.Reconnect < 0 {
 			d.wrong("control", "a span under 0", "relist_after and reconnect_most of 0 or more")
 		}
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -369,3 +369,89 @@
 		}
 	})
 }
+
+// What a file holds comes through a set unchanged.
+func TestFilePartsComeBack(t *testing.T) {
+	f := local()
+	f.Classes[0].Halls, f.Classes[0].InTurn, f.Tenants = []string{"hall"}, true, []config.Tenant{{Name: "a", PerSecond: 3}}
+	f.Rules = []config.Rule{{Name: "r", User: "x", Class: "report", Cost: config.Duration(time.Second), Key: "user"}}
+	parts := FileParts{Classes: f.Classes, Default: f.Default, Tenants: f.Tenants, Limits: f.Limits, Kinds: f.Kinds, Rules: f.Rules}
+	got := merge(f, parts.Set(3))
+	a, _ := (&config.Config{File: f}).Effective()
+	b, _ := (&config.Config{File: got}).Effective()
+	if string(a) != string(b) {
+		t.Errorf("got\n%s\nwant\n%s", b, a)
+	}
+}
+
+func TestRollout(t *testing.T) {
+	const n = 200
+	names := make([]string, n)
+	for i := range names {
+		names[i] = fmt.Sprint("d", i)
+	}
+	begin := func() *Rollout {
+		r := NewRollout(1, []float64{0.1, 0.5, 1}, 10*second, 0.05)
+		for _, d := range names {
+			r.Replied(0, d, r.Offer(d), "")
+		}
+		r.Begin(0, 2)
+		return r
+	}
+	offered := func(r *Rollout) (out []string) {
+		for _, d := range names {
+			if r.Offer(d) == 2 {
+				out = append(out, d)
+			}
+		}
+		return out
+	}
+	r := begin()
+	first := offered(r)
+	if len(first) < n/20 || len(first) > n/5 {
+		t.Fatalf("the first stage has %d of %d", len(first), n)
+	}
+	for _, d := range first {
+		r.Replied(second, d, 2, "")
+	}
+	if r.Look(5*second) || len(offered(r)) != len(first) {
+		t.Error("it went on before its time")
+	}
+	if !r.Look(11*second) || len(offered(r)) <= 2*len(first) {
+		t.Errorf("the second stage has %d", len(offered(r)))
+	}
+	for _, d := range offered(r) {
+		r.Replied(12*second, d, 2, "")
+	}
+	r.Look(23 * second)
+	if len(offered(r)) != n {
+		t.Errorf("the last stage has %d: %s", len(offered(r)), r.State())
+	}
+	for _, d := range names {
+		r.Replied(24*second, d, 2, "")
+	}
+	if r.State() != "set 2 is with all" {
+		t.Error(r.State())
+	}
+	// One refusal of so many does not halt it, one in twenty does: all get the old set again.
+	r = begin()
+	first = offered(r)
+	for i, d := range first {
+		if i%15 == 0 {
+			r.Replied(second, d, 2, "class_ends")
+		}
+	}
+	if got := len(offered(r)); got != 0 || !strings.Contains(r.State(), "halted") || !strings.Contains(r.State(), "class_ends") {
+		t.Errorf("after refusals %d are offered it: %s", got, r.State())
+	}
+	// A fall in service halts it too; the next version begins from the set before it.
+	r = begin()
+	r.Halt("service fell to 0.7")
+	if len(offered(r)) != 0 {
+		t.Error("halted, and offered")
+	}
+	r.Begin(30*second, 3)
+	if r.old != 1 || len(offered(r)) != 0 {
+		t.Errorf("after the halt old is %d", r.old)
+	}
+}
--- /dev/null
+++ b/control/parts.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"embershunt/config"
+	"embershunt/control/configv1"
+)
+
+// FileParts are the streamed parts of a configuration, as a control service reads them from a file. Fields left out mean
+// the defaults.
+type FileParts struct {
+	Classes     []config.Class  `json:"classes"`
+	Default     string          `json:"default_class"`
+	Tenants     []config.Tenant `json:"tenants"`
+	Limits      config.Limits   `json:"limits"`
+	Dispatchers int             `json:"dispatchers"`
+	Kinds       []config.Kind   `json:"kinds"`
+	Rules       []config.Rule   `json:"rules"`
+	NoHints     bool            `json:"no_hints"`
+}
+
+func us(d config.Duration) int64 { return d.D().Microseconds() }
+
+// Set is the version that they make: the inverse of what a dispatcher merges.
+func (f FileParts) Set(n uint64) Set {
+	s := Set{Number: n, Classes: &configv1.Classes{Set: n, DefaultClass: f.Default}, Tenants: &configv1.Tenants{Set: n},
+		Classification: &configv1.Classification{Set: n, NoHints: f.NoHints}}
+	for _, c := range f.Classes {
+		s.Classes.Classes = append(s.Classes.Classes, &configv1.Class{Name: c.Name, Worth: c.Worth, LateWorth: c.LateWorth,
+			AimUs: us(c.Aim), AimStretch: c.AimStretch, DeadlineUs: us(c.Deadline), Threads: int32(c.Threads), Effect: c.Effect,
+			Updates: c.Updates, Group: c.Group, WindowUs: us(c.Window), InTurn: c.InTurn, Halls: c.Halls, Kinds: c.Kinds,
+			Loads: c.Loads, Waits: c.Waits})
+	}
+	for _, t := range f.Tenants {
+		s.Tenants.Tenants = append(s.Tenants.Tenants, &configv1.Tenant{Name: t.Name, PerSecond: t.PerSecond})
+	}
+	l := f.Limits
+	s.Limits = &configv1.Limits{Set: n, Attempts: int32(l.Attempts), Held: int32(l.Held), ComeBackUs: us(l.ComeBack),
+		SecondCopies: l.SecondCopies, DrainGraceUs: us(l.DrainGrace), TurnRestUs: us(l.TurnRest), BudgetFree: l.BudgetFree,
+		BudgetShare: l.BudgetShare, BudgetSpanUs: us(l.BudgetSpan), ColdFrom: l.ColdFrom, ColdForUs: us(l.ColdFor),
+		ColdMultiple: l.ColdMultiple, ColdSpanUs: us(l.ColdSpan), OverShareWorth: l.OverShareWorth, Dispatchers: int32(f.Dispatchers)}
+	for _, k := range f.Kinds {
+		s.Limits.Kinds = append(s.Limits.Kinds, &configv1.Kind{Name: k.Name, Cores: int32(k.Cores), MemoryMb: k.MemoryMB})
+	}
+	for _, r := range f.Rules {
+		s.Classification.Rules = append(s.Classification.Rules, &configv1.Rule{Name: r.Name, User: r.User, Header: r.Header,
+			Option: r.Option, Value: r.Value, Statement: r.Statement, Command: r.Command, Class: r.Class, Tenant: r.Tenant,
+			CostUs: us(r.Cost), MemoryMb: r.MemoryMB, Key: r.Key, Tables: r.Tables})
+	}
+	return s
+}
--- a/control/stream/stream.go
+++ b/control/stream/stream.go
@@ -96,14 +96,15 @@
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
-	return &Stream{opt: o, handler: h, replies: make(chan Reply, 64), again: make(chan struct{}, 1)}
+	return &Stream{opt: o, handler: h, replies: make(chan Reply, 1000), again: make(chan struct{}, 1)}
 }
 
-// Reply sends a reply on the present stream; one that comes after the stream's loss is dropped.
-func (s *Stream) Reply(ctx context.Context, r Reply) {
+// Reply sends a reply on the present stream. It does not block: one that comes after the stream's loss is dropped, and
+// so is one that finds a thousand others waiting, which no stream that works lets happen.
+func (s *Stream) Reply(r Reply) {
 	select {
 	case s.replies <- r:
-	case <-ctx.Done():
+	default:
 	}
 }
 
--- a/control/stream/stream_test.go
+++ b/control/stream/stream_test.go
@@ -34,7 +34,7 @@
 	t.offered = append(t.offered, ev)
 	t.mu.Unlock()
 	if !t.silent {
-		t.s.Reply(context.Background(), Reply{Kind: ev.Kind, Version: ev.Version, Nonce: ev.Nonce})
+		t.s.Reply(Reply{Kind: ev.Kind, Version: ev.Version, Nonce: ev.Nonce})
 	}
 }
 
--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -21,6 +21,7 @@
 type controller struct {
 	d      *Dispatcher
 	log    *slog.Logger
+	local  config.File // without what is streamed
 	module *control.Module
 	stream *stream.Stream
 	store  *store.Store // nil: versions do not outlive the process
@@ -36,6 +37,7 @@
 	c := &controller{log: log, events: make(chan func(*control.Module) []control.Action, 256)}
 	k := cfg.File.Control
 	bounds, force, local := control.DefaultBounds(), control.Set{}, cfg.File
+	c.local = local
 	if k == nil {
 		c.module = control.New(bounds, local, force)
 		return c, cfg, nil
@@ -111,9 +113,9 @@
 func (c *controller) carry(ctx context.Context, a control.Action) {
 	switch a := a.(type) {
 	case control.Ack:
-		c.stream.Reply(ctx, stream.Reply{Kind: a.Kind, Version: a.Version, Nonce: a.Nonce})
+		c.stream.Reply(stream.Reply{Kind: a.Kind, Version: a.Version, Nonce: a.Nonce})
 	case control.Nack:
-		c.stream.Reply(ctx, stream.Reply{Kind: a.Kind, Version: a.Version, Nonce: a.Nonce, Reasons: a.Reasons})
+		c.stream.Reply(stream.Reply{Kind: a.Kind, Version: a.Version, Nonce: a.Nonce, Reasons: a.Reasons})
 	case control.Store:
 		c.group.Go(func() error {
 			var err error
@@ -167,14 +169,18 @@
 	ctx context.Context
 }
 
+func knownOf(core *dispatch.Core) control.Known {
+	k := control.Known{InFlight: core.InFlight()}
+	k.Further, k.Taken, k.Resting = core.Out()
+	return k
+}
+
 // Offered implements stream.Handler. What is out is asked of the loop first: the checks for harm need it.
 func (h handler) Offered(ev control.Offered) {
 	if ev.Kind != control.Nodes {
 		known := make(chan control.Known, 1)
 		h.c.d.loop.Post(dispatch.Look{At: func(core *dispatch.Core) {
-			k := control.Known{InFlight: core.InFlight()}
-			k.Further, k.Taken, k.Resting = core.Out()
-			known <- k
+			known <- knownOf(core)
 		}})
 		select {
 		case ev.Known = <-known:
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -43,6 +43,7 @@
 	registry *prometheus.Registry
 	listener net.Listener
 	metrics  net.Listener
+	socket   net.Listener
 	control  *controller // nil: nothing is streamed
 }
 
@@ -120,6 +121,14 @@
 			return nil, err
 		}
 	}
+	if d.socket, err = listenAdmin(f.Listen.Admin); err != nil {
+		d.listener.Close()
+		if d.metrics != nil {
+			d.metrics.Close()
+		}
+		d.listener = nil
+		return nil, err
+	}
 	return d, nil
 }
 
@@ -175,11 +184,13 @@
 		d.finish(ctx)
 		return d.fleet.Close()
 	})
-	if d.metrics != nil {
-		server := &http.Server{Handler: promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}),
-			ReadHeaderTimeout: 5 * time.Second}
+	serve := func(l net.Listener, h http.Handler) {
+		if l == nil {
+			return
+		}
+		server := &http.Server{Handler: h, ReadHeaderTimeout: 5 * time.Second}
 		group.Go(func() error {
-			if err := server.Serve(d.metrics); !errors.Is(err, http.ErrServerClosed) {
+			if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
 				return err
 			}
 			return nil
@@ -189,6 +200,8 @@
 			return server.Close()
 		})
 	}
+	serve(d.metrics, promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
+	serve(d.socket, d.adminHandler())
 	return group.Wait()
 }
 
--- a/standin/control.go
+++ b/standin/control.go
@@ -42,8 +42,14 @@
 	replies   []Reply
 	pushed    []Push
 	streams   []time.Time // when each stream began
+	sets      map[uint64][]*anypb.Any
+	choose    func(dispatcher string) uint64
+	reply     func(dispatcher string, number uint64, refused string)
 }
 
+// repliesMost bounds the replies remembered.
+const repliesMost = 100000
+
 type resource struct {
 	name    string
 	any     *anypb.Any // nil: an empty response
@@ -74,6 +80,9 @@
 	return &Control{cluster: cluster, changed: make(chan struct{}), resources: map[string]resource{}}
 }
 
+// At sets the address that Start listens at.
+func (c *Control) At(address string) { c.address = address }
+
 // Start listens, at the address it had before if it had one.
 func (c *Control) Start() error {
 	address := c.address
@@ -144,6 +153,39 @@
 	c.changed = make(chan struct{})
 }
 
+// Stage gives each dispatcher a set of its own: choose names the one to offer, reply is told what was said of it. Both
+// are called with the service's lock held.
+func (c *Control) Stage(choose func(dispatcher string) uint64, reply func(dispatcher string, number uint64, refused string)) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.choose, c.reply, c.sets = choose, reply, map[uint64][]*anypb.Any{}
+}
+
+// Locked runs something with the service's lock held, and pushes what has changed by it.
+func (c *Control) Locked(change func()) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	change()
+	close(c.changed)
+	c.changed = make(chan struct{})
+}
+
+// AddSet makes a set known; call it in Locked.
+func (c *Control) AddSet(number uint64, resources []*anypb.Any) { c.sets[number] = resources }
+
+// staged are the resources that one dispatcher is to be offered.
+func (c *Control) staged(who string) map[string]resource {
+	if c.choose == nil {
+		return c.resources
+	}
+	out := maps.Clone(c.resources)
+	number := c.choose(who)
+	for _, a := range c.sets[number] {
+		out[a.GetTypeUrl()] = resource{"default", a, int(number)}
+	}
+	return out
+}
+
 // Pushed returns the node lists that were sent and not turned down.
 func (c *Control) Pushed() (out []Push) {
 	c.mu.Lock()
@@ -206,7 +248,12 @@
 	if nonce == "" {
 		return
 	}
-	c.replies = append(c.replies, Reply{time.Now(), s.who, url, version, nonce, refused})
+	if n, err := strconv.ParseUint(nonce, 10, 64); err == nil && c.reply != nil && url != edsType {
+		c.reply(s.who, n, refused)
+		close(c.changed)
+		c.changed = make(chan struct{})
+	}
+	c.replies = append(c.replies[max(0, len(c.replies)-repliesMost):], Reply{time.Now(), s.who, url, version, nonce, refused})
 	for i := range c.pushed {
 		if p := &c.pushed[i]; refused != "" && url == edsType && p.Dispatcher == s.who && p.Nonce == nonce {
 			p.Refused = true
@@ -218,8 +265,12 @@
 func (c *Control) next(s *session) (out []resource, changed <-chan struct{}) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, url := range slices.Sorted(maps.Keys(c.resources)) {
-		r := c.resources[url]
+	if s.who == "" { // nothing was asked for yet
+		return nil, c.changed
+	}
+	resources := c.staged(s.who)
+	for _, url := range slices.Sorted(maps.Keys(resources)) {
+		r := resources[url]
 		if !s.want[url] || s.sent[url] == r.version {
 			continue
 		}
