--- a/cmd/embercontrol/main.go
+++ b/cmd/embercontrol/main.go
@@ -16,7 +16,8 @@
 	"time"
 
 	"github.com/alecthomas/kong"
-	"google.golang.org/protobuf/proto"
+	"github.com/prometheus/common/expfmt"
+	"github.com/prometheus/common/model"
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"embershunt/config"
@@ -25,13 +26,15 @@
 )
 
 var cli struct {
-	Folder  string        `arg:"" type:"existingdir" help:"Folder with nodes.jsonc and versions of the settings, NUMBER.jsonc. It is read again as it changes."`
-	Listen  string        `short:"l" default:"127.0.0.1:18000" help:"Address for dispatchers."`
-	Status  string        `help:"Address for GET / with the table of dispatchers; none if empty."`
-	Cluster string        `default:"query-nodes" help:"Name of the node list."`
-	Stages  []float64     `default:"0.1,0.5,1" help:"Shares of the dispatchers that get a new version, stage by stage."`
-	Hold    time.Duration `default:"10s" help:"Least time in a stage after its last acknowledgement."`
-	Refusal float64       `default:"0.05" help:"Share of a stage's dispatchers whose refusal halts the rollout."`
+	Folder  string            `arg:"" type:"existingdir" help:"Folder with nodes.jsonc and versions of the settings, NUMBER.jsonc. It is read again as it changes."`
+	Listen  string            `short:"l" default:"127.0.0.1:18000" help:"Address for dispatchers."`
+	Status  string            `help:"Address for GET / with the table of dispatchers; none if empty."`
+	Cluster string            `default:"query-nodes" help:"Name of the node list."`
+	Stages  []float64         `default:"0.1,0.5,1" help:"Shares of the dispatchers that get a new version, stage by stage."`
+	Hold    time.Duration     `default:"10s" help:"Least time in a stage after its last acknowledgement."`
+	Metrics map[string]string `help:"Metrics addresses by dispatcher's name, NAME=HOST:PORT, to compare service by."`
+	Fall    float64           `default:"0.1" help:"Fall of the share served, against dispatchers with the old set, that halts the rollout; 0: none does."`
+	Refusal float64           `default:"0.05" help:"Share of a stage's dispatchers whose refusal halts the rollout."`
 }
 
 // Exit codes: 0 ended by a signal, 1 it cannot serve, 2 wrong usage.
@@ -58,6 +61,7 @@
 	defer stop()
 	s := &service{control: standin.NewControl(cli.Cluster), begin: time.Now(), known: map[uint64]bool{},
 		told: map[string]string{}, rollout: control.NewRollout(0, cli.Stages, cli.Hold.Microseconds(), cli.Refusal)}
+	s.rollout.Fall = cli.Fall
 	s.control.Stage(s.rollout.Offer, func(d string, n uint64, refused string) { s.rollout.Replied(s.now(), d, n, refused) })
 	s.read()
 	s.control.At(cli.Listen)
@@ -81,6 +85,7 @@
 		case <-tick.C:
 		}
 		s.read()
+		s.scrape(ctx)
 		s.control.Locked(func() { s.rollout.Look(s.now()) })
 		if t := s.table(); t != last {
 			fmt.Println(t)
@@ -91,6 +96,44 @@
 
 func (s *service) now() control.Micros { return time.Since(s.begin).Microseconds() + 1 }
 
+// scrape reads each dispatcher's counters of final answers. One that cannot be reached tells nothing.
+func (s *service) scrape(ctx context.Context) {
+	for name, address := range cli.Metrics {
+		served, asked, err := counters(ctx, address)
+		if err == nil {
+			s.control.Locked(func() { s.rollout.Service(s.now(), name, served, asked) })
+		}
+	}
+}
+
+func counters(ctx context.Context, address string) (served, asked float64, err error) {
+	ctx, cancel := context.WithTimeout(ctx, time.Second)
+	defer cancel()
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+address+"/metrics", nil)
+	if err != nil {
+		return 0, 0, err
+	}
+	answer, err := http.DefaultClient.Do(r)
+	if err != nil {
+		return 0, 0, err
+	}
+	defer answer.Body.Close()
+	parser := expfmt.NewTextParser(model.LegacyValidation)
+	families, err := parser.TextToMetricFamilies(answer.Body)
+	if err != nil {
+		return 0, 0, err
+	}
+	for _, m := range families["embershunt_queries_total"].GetMetric() {
+		asked += m.GetCounter().GetValue()
+		for _, l := range m.GetLabel() {
+			if l.GetName() == "final" && l.GetValue() == "served" {
+				served += m.GetCounter().GetValue()
+			}
+		}
+	}
+	return served, asked, nil
+}
+
 // read takes up what is new in the folder. A file with mistakes is told once and left alone.
 func (s *service) read() {
 	files, _ := filepath.Glob(filepath.Join(cli.Folder, "*.jsonc"))
@@ -122,7 +165,7 @@
 	}
 	set := parts.Set(n)
 	var all []*anypb.Any
-	for _, m := range []proto.Message{set.Classes, set.Tenants, set.Limits, set.Classification} {
+	for _, m := range set.Parts() {
 		a, err := anypb.New(m)
 		if err != nil {
 			return err
--- a/config/config.go
+++ b/config/config.go
@@ -76,7 +76,8 @@
 	Keep        int      `json:"keep"`    // how many of them
 	Floor       float64  `json:"floor"`   // least share of the healthy nodes that a list may leave at once
 	FloorCount  int      `json:"floor_count"`
-	RelistAfter Duration `json:"relist_after"` // a drained node without a new start is believed healthy after this
+	RelistAfter Duration `json:"relist_after"`  // a drained node without a new start is believed healthy after this
+	Shorter     bool     `json:"allow_shorter"` // of graces, rests and budgets, whatever is out
 	Reconnect   Duration `json:"reconnect_most"`
 	OperatorKey string   `json:"operator_key"` // Ed25519, hex; who holds the other half may override; empty: nobody
 }
--- a/control/control.go
+++ b/control/control.go
@@ -30,12 +30,13 @@
 	Tenants
 	Limits
 	Classification
+	Fronts
 	Nodes
 	settingsKinds = int(Nodes)
 )
 
 func (k Kind) String() string {
-	return [...]string{"classes", "tenants", "limits", "classification", "nodes"}[k]
+	return [...]string{"classes", "tenants", "limits", "classification", "fronts", "nodes"}[k]
 }
 
 // Set is one version of the settings.
@@ -45,6 +46,7 @@
 	Tenants        *configv1.Tenants
 	Limits         *configv1.Limits
 	Classification *configv1.Classification
+	Fronts         *configv1.Fronts
 }
 
 // Known is what the dispatcher knows at the moment of a decision.
@@ -290,6 +292,8 @@
 		is, number = Limits, r.GetSet()
 	case *configv1.Classification:
 		is, number = Classification, r.GetSet()
+	case *configv1.Fronts:
+		is, number = Fronts, r.GetSet()
 	}
 	switch {
 	case is != k:
@@ -348,12 +352,14 @@
 	return Set{Number: number, Classes: m.waiting[Classes].message.(*configv1.Classes),
 		Tenants:        m.waiting[Tenants].message.(*configv1.Tenants),
 		Limits:         m.waiting[Limits].message.(*configv1.Limits),
-		Classification: m.waiting[Classification].message.(*configv1.Classification)}
+		Classification: m.waiting[Classification].message.(*configv1.Classification),
+		Fronts:         m.waiting[Fronts].message.(*configv1.Fronts)}
 }
 
 func same(a, b Set) bool {
 	return a.Number == b.Number && proto.Equal(a.Classes, b.Classes) && proto.Equal(a.Tenants, b.Tenants) &&
-		proto.Equal(a.Limits, b.Limits) && proto.Equal(a.Classification, b.Classification)
+		proto.Equal(a.Limits, b.Limits) && proto.Equal(a.Classification, b.Classification) &&
+		proto.Equal(a.Fronts, b.Fronts)
 }
 
 // move begins the way of a set: durable first, then in force, then acknowledged. A crash at any place leaves either the
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"pgregory.net/rapid"
 
 	"embershunt/choice"
@@ -33,7 +32,7 @@
 func version(n uint64, change func(*Set)) Set {
 	s := Set{Number: n, Classes: &configv1.Classes{Set: n, Classes: []*configv1.Class{
 		{Name: "lookup", AimUs: 1e6, DeadlineUs: 2e6}, {Name: "report", AimUs: 1e6, DeadlineUs: 9e6}}},
-		Tenants: &configv1.Tenants{Set: n}, Classification: &configv1.Classification{Set: n},
+		Tenants: &configv1.Tenants{Set: n}, Classification: &configv1.Classification{Set: n}, Fronts: &configv1.Fronts{Set: n},
 		Limits: &configv1.Limits{Set: n, DrainGraceUs: 2e6, BudgetFree: 5, BudgetSpanUs: 5e6, TurnRestUs: 1e6}}
 	if change != nil {
 		change(&s)
@@ -41,13 +40,9 @@
 	return s
 }
 
-func (s Set) parts() []proto.Message {
-	return []proto.Message{s.Classes, s.Tenants, s.Limits, s.Classification}
-}
-
 // offer plays a whole set; it returns what the last event brought.
 func offerSet(m *Module, now Micros, s Set, k Known) (out []Action) {
-	for i, p := range s.parts() {
+	for i, p := range s.Parts() {
 		out = append(out, m.Step(now, Offered{Kind: Kind(i), Version: fmt.Sprint(s.Number), Nonce: fmt.Sprintf("n%d", i), Message: p, Known: k})...)
 	}
 	return out
@@ -77,8 +72,8 @@
 	return strings.Join(out, "; ")
 }
 
-const acks = "ack classes; ack tenants; ack limits; ack classification"
-const nacks = "nack classes; nack tenants; nack limits; nack classification"
+const acks = "ack classes; ack tenants; ack limits; ack classification; ack fronts"
+const nacks = "nack classes; nack tenants; nack limits; nack classification; nack fronts"
 
 // take brings a set into force.
 func take(t *testing.T, m *Module, now Micros, s Set) {
@@ -150,6 +145,7 @@
 			s.Classification.Rules = []*configv1.Rule{{Name: "r", Class: "nobody"}}
 		}, Known{}, 0, `reference: rules[0].class: found "nobody", allowed: lookup, report`, false},
 		{"an effect that is none", func(s *Set) { s.Classes.Classes[0].Effect = "maybe" }, Known{}, 0, "classes[0].effect", false},
+		{"a statement longer than the transport takes", func(s *Set) { s.Fronts.MaxStatementBytes = 60 << 20 }, Known{}, 0, "fixed: max_statement_bytes", false},
 		{"a kind that moves", func(s *Set) { s.Limits.Kinds = []*configv1.Kind{{Name: "new", Cores: 4}, {Name: "k", Cores: 8}} }, Known{}, 0, "fixed: kinds", false},
 		{"a class that ends with queries in flight", func(s *Set) { s.Classes.Classes = s.Classes.Classes[:1] },
 			Known{InFlight: map[string]int{"report": 3}}, 0, `class_ends: class "report" would end with 3 queries`, true},
@@ -328,15 +324,15 @@
 						s.Classes.Classes[0].DeadlineUs = 0
 					}
 				})
-				for i, p := range s.parts() {
+				for i, p := range s.Parts() {
 					serial++
 					handle(m.Step(0, Offered{Kind: Kind(i), Version: fmt.Sprint(n), Nonce: fmt.Sprint(serial), Message: p}))
 				}
 			case 2: // a part alone
 				n := uint64(rapid.IntRange(1, 12).Draw(r, "number"))
-				k := rapid.IntRange(0, 3).Draw(r, "kind")
+				k := rapid.IntRange(0, 4).Draw(r, "kind")
 				serial++
-				handle(m.Step(0, Offered{Kind: Kind(k), Version: fmt.Sprint(n), Nonce: fmt.Sprint(serial), Message: version(n, nil).parts()[k]}))
+				handle(m.Step(0, Offered{Kind: Kind(k), Version: fmt.Sprint(n), Nonce: fmt.Sprint(serial), Message: version(n, nil).Parts()[k]}))
 			case 3:
 				fails := rapid.Bool().Draw(r, "fails")
 				if storing != 0 {
@@ -375,7 +371,7 @@
 	f := local()
 	f.Classes[0].Halls, f.Classes[0].InTurn, f.Tenants = []string{"hall"}, true, []config.Tenant{{Name: "a", PerSecond: 3}}
 	f.Rules = []config.Rule{{Name: "r", User: "x", Class: "report", Cost: config.Duration(time.Second), Key: "user"}}
-	parts := FileParts{Classes: f.Classes, Default: f.Default, Tenants: f.Tenants, Limits: f.Limits, Kinds: f.Kinds, Rules: f.Rules}
+	parts := FileParts{Classes: f.Classes, Default: f.Default, Tenants: f.Tenants, Limits: f.Limits, Kinds: f.Kinds, Rules: f.Rules, Front: f.Front}
 	got := merge(f, parts.Set(3))
 	a, _ := (&config.Config{File: f}).Effective()
 	b, _ := (&config.Config{File: got}).Effective()
@@ -455,3 +451,47 @@
 		t.Errorf("after the halt old is %d", r.old)
 	}
 }
+
+// A version under which less is served is halted by the dispatchers' own counters; noise, few queries and a dispatcher that
+// starts anew do not halt it.
+func TestRolloutHaltsOnAFallInService(t *testing.T) {
+	cases := []struct {
+		name          string
+		served, asked float64 // of each dispatcher with the new set, since it has it; those with the old one serve 95 of 100
+		halts         bool
+	}{
+		{"as before", 940, 1000, false}, {"a clear fall", 700, 1000, true}, {"too few to tell", 1, 10, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := NewRollout(1, []float64{0.3, 1}, 10*second, 0.5)
+			r.Fall = 0.1
+			var staged, rest []string
+			for i := range 20 {
+				d := fmt.Sprint("d", i)
+				r.Replied(0, d, 1, "")
+				r.Service(0, d, 100, 5000) // a bad day before: it does not count
+			}
+			r.Begin(second, 2)
+			for i := range 20 {
+				d := fmt.Sprint("d", i)
+				if r.Offer(d) == 2 {
+					staged = append(staged, d)
+					r.Replied(second, d, 2, "")
+				} else {
+					rest = append(rest, d)
+				}
+			}
+			for _, d := range rest {
+				r.Service(2*second, d, 100+950, 5000+1000)
+			}
+			r.Service(2*second, rest[0], 95, 100) // started anew
+			for _, d := range staged {
+				r.Service(2*second, d, 100+c.served, 5000+c.asked)
+			}
+			if halted := strings.Contains(r.State(), "halted"); halted != c.halts {
+				t.Errorf("%s", r.State())
+			}
+		})
+	}
+}
--- a/control/judge.go
+++ b/control/judge.go
@@ -14,7 +14,6 @@
 	Floor       float64 // least share of the healthy nodes that a list may leave at once; default 0.5
 	FloorCount  int     // least number of them; default 1
 	RelistAfter Micros  // a drained node listed as healthy without a new start is believed after this; default 60 s
-	NoClassEnds bool    // a class with queries in flight may not end; the default, see NewBounds
 	NoShorter   bool    // a grace or budget may not become shorter than what is out; the default
 
 	config *config.Config // of the set that moves
@@ -22,7 +21,7 @@
 
 // DefaultBounds are the limits where settings name none.
 func DefaultBounds() Bounds {
-	return Bounds{Floor: 0.5, FloorCount: 1, RelistAfter: 60e6, NoClassEnds: true, NoShorter: true}
+	return Bounds{Floor: 0.5, FloorCount: 1, RelistAfter: 60e6, NoShorter: true}
 }
 
 // check judges a whole set: form and references by the configuration's own rules, then what is fixed at start, then
@@ -58,16 +57,23 @@
 				"at %d", k.Name, i))
 		}
 	}
+	for _, l := range []struct {
+		field     string
+		now, next int
+	}{{"max_statement_bytes", m.local.Front.MaxStatement, cfg.File.Front.MaxStatement},
+		{"max_parameter_bytes", m.local.Front.MaxParams, cfg.File.Front.MaxParams}} {
+		if l.next > l.now { // the transport's bound was set by it
+			reasons = append(reasons, fmt.Sprintf("fixed: %s may not pass the file's %d: %d", l.field, l.now, l.next))
+		}
+	}
 	return reasons
 }
 
 // harm are the checks for what is valid in form and would hurt now.
 func (m *Module) harm(cfg *config.Config, k Known) (reasons []string) {
-	if m.bounds.NoClassEnds {
-		for _, name := range classNames(m.file) {
-			if n := k.InFlight[name]; n > 0 && !slices.Contains(settingNames(cfg), name) {
-				reasons = append(reasons, fmt.Sprintf("class_ends: class %q would end with %d queries in flight", name, n))
-			}
+	for _, name := range classNames(m.file) { // no setting lets this pass: the module itself does not end such a class
+		if n := k.InFlight[name]; n > 0 && !slices.Contains(settingNames(cfg), name) {
+			reasons = append(reasons, fmt.Sprintf("class_ends: class %q would end with %d queries in flight", name, n))
 		}
 	}
 	if !m.bounds.NoShorter {
@@ -143,6 +149,13 @@
 			f.Kinds = append(f.Kinds, config.Kind{Name: k.GetName(), Cores: int(k.GetCores()), MemoryMB: k.GetMemoryMb()})
 		}
 	}
+	r := s.Fronts
+	given(&f.Front.WayBack, span(r.GetWayBackUs())) // what is left out stays the file's
+	given(&f.Front.TicketLife, span(r.GetTicketLifeUs()))
+	given(&f.Front.PreparedLife, span(r.GetPreparedLifeUs()))
+	given(&f.Front.BearerLife, span(r.GetBearerLifeUs()))
+	given(&f.Front.MaxStatement, int(r.GetMaxStatementBytes()))
+	given(&f.Front.MaxParams, int(r.GetMaxParameterBytes()))
 	f.Rules, f.NoHints = nil, s.Classification.GetNoHints()
 	for _, r := range s.Classification.GetRules() {
 		f.Rules = append(f.Rules, rule(r))
@@ -150,6 +163,13 @@
 	return f
 }
 
+func given[T comparable](p *T, v T) {
+	var none T
+	if v != none {
+		*p = v
+	}
+}
+
 func rule(r *configv1.Rule) config.Rule {
 	return config.Rule{Name: r.GetName(), User: r.GetUser(), Header: r.GetHeader(), Option: r.GetOption(), Value: r.GetValue(),
 		Statement: r.GetStatement(), Command: r.GetCommand(), Class: r.GetClass(), Tenant: r.GetTenant(),
--- a/control/parts.go
+++ b/control/parts.go
@@ -1,6 +1,8 @@
 package control
 
 import (
+	"google.golang.org/protobuf/proto"
+
 	"embershunt/config"
 	"embershunt/control/configv1"
 )
@@ -16,6 +18,7 @@
 	Kinds       []config.Kind   `json:"kinds"`
 	Rules       []config.Rule   `json:"rules"`
 	NoHints     bool            `json:"no_hints"`
+	Front       config.Front    `json:"front"` // all but schema_life and schema_most
 }
 
 func us(d config.Duration) int64 { return d.D().Microseconds() }
@@ -33,6 +36,9 @@
 	for _, t := range f.Tenants {
 		s.Tenants.Tenants = append(s.Tenants.Tenants, &configv1.Tenant{Name: t.Name, PerSecond: t.PerSecond})
 	}
+	s.Fronts = &configv1.Fronts{Set: n, WayBackUs: us(f.Front.WayBack), TicketLifeUs: us(f.Front.TicketLife),
+		PreparedLifeUs: us(f.Front.PreparedLife), BearerLifeUs: us(f.Front.BearerLife),
+		MaxStatementBytes: int32(f.Front.MaxStatement), MaxParameterBytes: int32(f.Front.MaxParams)}
 	l := f.Limits
 	s.Limits = &configv1.Limits{Set: n, Attempts: int32(l.Attempts), Held: int32(l.Held), ComeBackUs: us(l.ComeBack),
 		SecondCopies: l.SecondCopies, DrainGraceUs: us(l.DrainGrace), TurnRestUs: us(l.TurnRest), BudgetFree: l.BudgetFree,
@@ -48,3 +54,8 @@
 	}
 	return s
 }
+
+// Parts are a set's resources, in the order of their kinds.
+func (s Set) Parts() []proto.Message {
+	return []proto.Message{s.Classes, s.Tenants, s.Limits, s.Classification, s.Fronts}
+}
--- a/control/rollout.go
+++ b/control/rollout.go
@@ -15,11 +15,21 @@
 	Hold    Micros    // least time in a stage after its last ACK
 	Refusal float64   // share of a stage's dispatchers whose refusal halts it
 
+	Fall   float64 // fall of the share served, against those with the old set, that halts it; 0: none does
+	Enough int     // queries on either side below which service is not compared; default 200
+
 	old, target uint64
 	stage       int
 	since       Micros // when the stage was whole
 	halted      string
 	seen        map[string]*Standing
+	service     map[string]*service
+}
+
+// service is what one dispatcher has answered, by its own counters.
+type service struct {
+	served, asked float64 // told last
+	base          [2]float64
 }
 
 // Standing is what one dispatcher said last.
@@ -36,7 +46,7 @@
 		stages = append(slices.Clone(stages), 1)
 	}
 	return &Rollout{Stages: stages, Hold: hold, Refusal: refusal, old: number, target: number, stage: len(stages) - 1,
-		seen: map[string]*Standing{}}
+		seen: map[string]*Standing{}, service: map[string]*service{}}
 }
 
 // Begin starts to roll a set out; what was in all hands before is what a halt goes back to.
@@ -45,6 +55,46 @@
 		r.old = r.target
 	}
 	r.target, r.stage, r.since, r.halted = number, 0, 0, ""
+	for _, s := range r.service {
+		s.base = [2]float64{s.served, s.asked}
+	}
+}
+
+// Service books a dispatcher's counters of queries served and asked for since its start, and halts the rollout where
+// those with the new set serve a clearly smaller share than those with the old one did over the same time. One that was
+// started anew counts from there.
+func (r *Rollout) Service(now Micros, dispatcher string, served, asked float64) {
+	s := r.service[dispatcher]
+	if s == nil {
+		s = &service{base: [2]float64{served, asked}}
+		r.service[dispatcher] = s
+	}
+	if asked < s.asked {
+		s.base = [2]float64{}
+	}
+	s.served, s.asked = served, asked
+	if r.Fall <= 0 || r.halted != "" || r.target == r.old {
+		return
+	}
+	var sum [2][2]float64 // old and new: served, asked
+	for _, name := range slices.Sorted(maps.Keys(r.service)) {
+		side := 0
+		if st := r.seen[name]; st != nil && st.Number == r.target {
+			side = 1
+		}
+		sum[side][0] += r.service[name].served - r.service[name].base[0]
+		sum[side][1] += r.service[name].asked - r.service[name].base[1]
+	}
+	enough := float64(r.Enough)
+	if enough == 0 {
+		enough = 200
+	}
+	if sum[0][1] < enough || sum[1][1] < enough {
+		return
+	}
+	if before, after := sum[0][0]/sum[0][1], sum[1][0]/sum[1][1]; after < before-r.Fall {
+		r.Halt(fmt.Sprintf("dispatchers with set %d serve %.3f of their queries, those with set %d %.3f", r.target, after, r.old, before))
+	}
 }
 
 // Offer is the set that a dispatcher is to be offered. Who comes first is drawn by name and number, so that it is not
--- a/control/stream/stream.go
+++ b/control/stream/stream.go
@@ -31,6 +31,7 @@
 	control.Tenants:        "type.googleapis.com/embershunt.config.v1.Tenants",
 	control.Limits:         "type.googleapis.com/embershunt.config.v1.Limits",
 	control.Classification: "type.googleapis.com/embershunt.config.v1.Classification",
+	control.Fronts:         "type.googleapis.com/embershunt.config.v1.Fronts",
 	control.Nodes:          "type.googleapis.com/envoy.config.endpoint.v3.ClusterLoadAssignment",
 }
 
@@ -155,7 +156,8 @@
 	if !s.opt.Settings {
 		return []control.Kind{control.Nodes}
 	}
-	return []control.Kind{control.Classes, control.Tenants, control.Limits, control.Classification, control.Nodes}
+	return []control.Kind{control.Classes, control.Tenants, control.Limits, control.Classification, control.Fronts,
+		control.Nodes}
 }
 
 func (s *Stream) name(k control.Kind) string {
@@ -234,7 +236,8 @@
 		return
 	}
 	message := map[control.Kind]proto.Message{control.Classes: &configv1.Classes{}, control.Tenants: &configv1.Tenants{},
-		control.Limits: &configv1.Limits{}, control.Classification: &configv1.Classification{}}[k]
+		control.Limits: &configv1.Limits{}, control.Classification: &configv1.Classification{},
+		control.Fronts: &configv1.Fronts{}}[k]
 	if err := resources[0].UnmarshalTo(message); err != nil {
 		ev.Bad = fmt.Errorf("%s: %w", k, err)
 		return
--- a/control/stream/stream_test.go
+++ b/control/stream/stream_test.go
@@ -169,7 +169,7 @@
 	}
 	f.Add(0, typeURLs[control.Classes], mustMarshal(&configv1.Classes{Set: 1, Classes: []*configv1.Class{{Name: "c", AimUs: 1, DeadlineUs: 2}}}))
 	f.Fuzz(func(t *testing.T, kind int, url string, value []byte) {
-		k := control.Kind(((kind % 5) + 5) % 5)
+		k := control.Kind(((kind % 6) + 6) % 6)
 		s := New(Options{Cluster: "nodes", Names: nodelist.Names{Halls: []string{"h"}, Kinds: []string{"k"}}}, &tape{})
 		ev := control.Offered{Kind: k, Version: "1", Nonce: "1"}
 		s.read(k, []*anypb.Any{{TypeUrl: url, Value: value}}, &ev)
--- a/day/judge.go
+++ b/day/judge.go
@@ -51,6 +51,7 @@
 	Attempts int
 	Further  int
 	Nacks    int
+	Sets     []string      // of the settings in force at the end, by dispatcher; empty: nothing was streamed
 	Latest   time.Duration // longest time from a drain notice sent to an attempt seen at that node
 }
 
@@ -89,6 +90,11 @@
 	}
 	r.Rules = []Rule{w.oneAnswer(seen), w.noEffectTwice(seen), w.drains(all, r), w.coldNodes(seen), w.order(seen),
 		w.placement(seen), w.budget(seen)}
+	for _, h := range w.hosts {
+		if s, ok := h.d.ControlStatus(); ok && len(w.script.Versions) > 0 {
+			r.Sets = append(r.Sets, fmt.Sprintf("%s: set %d", h.cfg.File.Name, s.Number))
+		}
+	}
 	for g := range w.script.Clients {
 		r.Classes = append(r.Classes, w.service(g, r))
 	}
--- a/day/print.go
+++ b/day/print.go
@@ -23,7 +23,10 @@
 			c.Failed, c.Left, c.Lost, ms(c.P50), ms(c.P99), ms(c.Max))
 	}
 	fmt.Fprintf(w, "\nattempts seen at nodes\t%d\nfurther attempts among them\t%d\n", r.Attempts, r.Further)
-	fmt.Fprintf(w, "last attempt seen after a drain was told\t%s\nnode lists turned down\t%d\n", ms(r.Latest), r.Nacks)
+	fmt.Fprintf(w, "last attempt seen after a drain was told\t%s\nresponses turned down\t%d\n", ms(r.Latest), r.Nacks)
+	for _, x := range r.Sets {
+		fmt.Fprintf(w, "in force at the end\t%s\n", x)
+	}
 	for _, k := range slices.Sorted(maps.Keys(r.Reasons)) {
 		fmt.Fprintf(w, "reason %s\t%d\n", k, r.Reasons[k])
 	}
--- a/day/run.go
+++ b/day/run.go
@@ -98,6 +98,7 @@
 	for i := range s.Faults {
 		group.Go(func() error { return w.fault(ctx, &s.Faults[i]) })
 	}
+	group.Go(func() error { return w.versions(ctx) })
 	for i := range s.Clients {
 		seed := w.rng.Uint64()
 		group.Go(func() error { return w.clients(ctx, i, rand.New(rand.NewPCG(seed, 5))) })
@@ -328,6 +329,23 @@
 	return nil
 }
 
+// versions streams the settings at their times.
+func (w *world) versions(ctx context.Context) error {
+	for i := range w.script.Versions {
+		v := &w.script.Versions[i]
+		if !sleep(ctx, time.Until(w.begin.Add(v.At.D()))) {
+			return nil
+		}
+		resources, err := w.script.resources(v)
+		if err != nil {
+			return err
+		}
+		w.log.Info("version", "number", v.Number)
+		w.control.Put("default", resources...)
+	}
+	return nil
+}
+
 // where is a node's hall and kind.
 func (w *world) where(i int) (hall, kind string) {
 	for _, g := range w.script.Nodes {
--- a/day/script.go
+++ b/day/script.go
@@ -10,7 +10,10 @@
 	"strings"
 	"time"
 
+	"google.golang.org/protobuf/types/known/anypb"
+
 	"embershunt/config"
+	"embershunt/control"
 )
 
 // Script is a day as it is written.
@@ -24,6 +27,15 @@
 	ListDelay   config.Duration `json:"list_delay"` // by which the control service learns of starts and ends
 	Clients     []ClientGroup   `json:"clients"`
 	Faults      []Fault         `json:"faults"`
+	Versions    []Version       `json:"versions"` // of the settings, streamed while the day goes on
+}
+
+// Version is a set of the settings that the control service streams from a time on. What it leaves out is the script's
+// own. The judge goes by the script's limits: a version that changes those that rules are judged by would be misjudged.
+type Version struct {
+	At       config.Duration   `json:"at"`
+	Number   int               `json:"number"`
+	Settings control.FileParts `json:"settings"`
 }
 
 // NodeGroup is some nodes of one kind in one hall.
@@ -107,6 +119,11 @@
 				wrong(at+".class", fmt.Sprintf("%q", g.Class), "a class of config.classes")
 			}
 		}
+		for i, v := range s.Versions {
+			if v.Number < 1 || i > 0 && v.At < s.Versions[i-1].At {
+				wrong(fmt.Sprintf("versions[%d]", i), fmt.Sprintf("number %d at %v", v.Number, v.At.D()), "numbers from 1, in the order of their times")
+			}
+		}
 		for i, f := range s.Faults {
 			at := fmt.Sprintf("faults[%d]", i)
 			takes, ok := faultKinds[f.Do]
@@ -140,11 +157,15 @@
 }
 
 // config is the configuration of one dispatcher.
-func (s *Script) config(i int, control string) (*config.Config, error) {
+func (s *Script) config(i int, service string) (*config.Config, error) {
 	f := s.Config
 	f.Name, f.Peers, f.Number = fmt.Sprintf("dispatcher-%d", i), s.Dispatchers, i
 	f.Listen = config.Listen{FlightSQL: "127.0.0.1:0"}
-	f.Nodes = config.Nodes{EDS: &config.EDS{Address: control, Cluster: cluster}}
+	f.Nodes = config.Nodes{EDS: &config.EDS{Address: service, Cluster: cluster}}
+	if len(s.Versions) > 0 {
+		f.Nodes, f.Control = config.Nodes{}, &config.Control{Address: service, Cluster: cluster, Delta: i%2 == 1,
+			Reconnect: config.Duration(time.Second)}
+	}
 	f.Hall = ""
 	if len(f.Halls) > 0 {
 		f.Hall = f.Halls[i%len(f.Halls)]
@@ -152,4 +173,31 @@
 	return config.FromFile(f)
 }
 
+// resources are a version as the control service sends it.
+func (s *Script) resources(v *Version) ([]*anypb.Any, error) {
+	p := v.Settings
+	if p.Classes == nil {
+		p.Classes, p.Default = s.Config.Classes, s.Config.Default
+	}
+	if p.Kinds == nil {
+		p.Kinds = s.Config.Kinds
+	}
+	if p.Rules == nil {
+		p.Rules = s.Config.Rules
+	}
+	if p.Limits == (config.Limits{}) {
+		p.Limits = s.Config.Limits
+	}
+	set := p.Set(uint64(v.Number))
+	var out []*anypb.Any
+	for _, m := range set.Parts() {
+		a, err := anypb.New(m)
+		if err != nil {
+			return nil, err
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
 const cluster = "nodes"
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -42,6 +42,7 @@
 	Ended(q *Query, node string, ev Ended)
 	Fault(Fault)
 	Changed(version uint64, s choice.Settings)
+	Paused(d Micros) // how long a step with a change of the settings held the loop
 	Note(text string)
 	Stepped(events, actions, held int)
 }
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -58,6 +58,7 @@
 func (t *tape) Ended(*Query, string, Ended)       {}
 func (t *tape) Fault(f Fault)                     { t.faults = append(t.faults, f.Kind) }
 func (t *tape) Changed(uint64, choice.Settings)   {}
+func (t *tape) Paused(Micros)                     {}
 func (t *tape) Note(string)                       {}
 func (t *tape) Stepped(events, actions, held int) {}
 func (t *tape) client(id string) clientTape       { return clientTape{t, id} }
--- a/dispatch/loop.go
+++ b/dispatch/loop.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"errors"
+	"slices"
 	"sync"
 	"time"
 )
@@ -133,9 +134,13 @@
 		if drain {
 			l.core.Drain()
 		}
-		if err := l.core.Step(l.clock.Now(), events); err != nil {
+		begin := l.clock.Now()
+		if err := l.core.Step(begin, events); err != nil {
 			return err
 		}
+		if slices.ContainsFunc(events, func(ev Event) bool { _, ok := ev.(Change); return ok }) {
+			l.core.observe.Paused(l.clock.Now() - begin)
+		}
 		clear(events)
 		l.spare = events[:0]
 		if drain && l.core.Booked() == 0 && !l.waiting() {
--- a/dispatcher/control_test.go
+++ b/dispatcher/control_test.go
@@ -8,7 +8,6 @@
 	"testing"
 	"time"
 
-	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 
 	"embershunt/control"
@@ -23,12 +22,12 @@
 	s := control.Set{Number: n, Classes: &configv1.Classes{Set: n, Classes: []*configv1.Class{
 		{Name: "lookup", AimUs: 750e3, AimStretch: 1.5, DeadlineUs: 4e6},
 		{Name: "report", AimUs: 2e6, DeadlineUs: 15e6, Threads: 4, Worth: 10}}}, Tenants: &configv1.Tenants{Set: n},
-		Limits: &configv1.Limits{Set: n}, Classification: &configv1.Classification{Set: n}}
+		Limits: &configv1.Limits{Set: n}, Classification: &configv1.Classification{Set: n}, Fronts: &configv1.Fronts{Set: n}}
 	if change != nil {
 		change(&s)
 	}
 	var out []*anypb.Any
-	for _, m := range []proto.Message{s.Classes, s.Tenants, s.Limits, s.Classification} {
+	for _, m := range s.Parts() {
 		a, err := anypb.New(m)
 		if err != nil {
 			t.Fatal(err)
@@ -98,7 +97,7 @@
 			c.Put(stream.SettingsName, settings(t, 1, func(s *control.Set) {
 				s.Classes.Classes = append(s.Classes.Classes, &configv1.Class{Name: "audit", AimUs: 8e6, DeadlineUs: 9e6})
 			})...)
-			until(t, "set 1 acknowledged", func() bool { a, _ := replies(); return a == 5 })
+			until(t, "set 1 acknowledged", func() bool { a, _ := replies(); return a == 6 })
 			served("SELECT 1 /* class=audit */")
 
 			refused := func(what, reason string, resources ...*anypb.Any) {
--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -42,7 +42,7 @@
 		c.module = control.New(bounds, local, force)
 		return c, cfg, nil
 	}
-	bounds.Floor, bounds.FloorCount = k.Floor, k.FloorCount
+	bounds.Floor, bounds.FloorCount, bounds.NoShorter = k.Floor, k.FloorCount, !k.Shorter
 	bounds.RelistAfter = k.RelistAfter.D().Microseconds()
 	if k.Store != "" {
 		s, err := store.Open(k.Store, k.Keep)
@@ -196,3 +196,7 @@
 	h.c.d.fleet.ListFailed(err)
 	h.c.tell(h.ctx, control.Lost{})
 }
+
+// BreakStore closes the store under a running dispatcher, so that every write to it fails: for tests of full and read-only
+// disks.
+func (d *Dispatcher) BreakStore() error { return d.control.store.Close() }
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -100,9 +100,7 @@
 	}
 	r := &f.Front
 	d.front = flightsql.New(flightsql.Options{Log: d.log, Clock: d.clock, Tables: tables(cfg, 0),
-		Auth: auth, Seal: sealer, WayBack: r.WayBack.D(), TicketLife: r.TicketLife.D(),
-		PreparedLife: r.PreparedLife.D(), BearerLife: r.BearerLife.D(), SchemaLife: r.SchemaLife.D(),
-		SchemaMost: r.SchemaMost, MaxStatement: r.MaxStatement, MaxParams: r.MaxParams,
+		Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(), SchemaMost: r.SchemaMost,
 		PassHeaders: f.Sending.PassHeaders}, d.loop)
 	observer.watch(d.front, d.fleet)
 	d.server = grpc.NewServer(append(d.front.ServerOptions(),
@@ -134,7 +132,10 @@
 
 // tables are what a configuration tells the front.
 func tables(cfg *config.Config, version uint64) flightsql.Tables {
-	t := flightsql.Tables{Version: version, Classes: &cfg.Classes, Deadlines: make([]time.Duration, len(cfg.Settings.Classes))}
+	r := &cfg.File.Front
+	t := flightsql.Tables{Version: version, Classes: &cfg.Classes, Deadlines: make([]time.Duration, len(cfg.Settings.Classes)),
+		WayBack: r.WayBack.D(), TicketLife: r.TicketLife.D(), PreparedLife: r.PreparedLife.D(), BearerLife: r.BearerLife.D(),
+		MaxStatement: r.MaxStatement, MaxParams: r.MaxParams}
 	for i, c := range cfg.Settings.Classes {
 		t.Deadlines[i] = time.Duration(c.Deadline) * time.Microsecond
 	}
--- a/dispatcher/many_test.go
+++ b/dispatcher/many_test.go
@@ -7,6 +7,7 @@
 	"math/rand/v2"
 	"path/filepath"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -99,10 +100,23 @@
 	}
 	until(t, "all streams up", func() bool { return len(c.Streams()) == *many })
 	put := func(a []*anypb.Any) func() { return func() { c.Put(stream.SettingsName, a...) } }
-	everywhere("a good version", 1, 4, 0, put(settings(t, 1, nil)))
-	everywhere("a malformed one", 1, 4, 1, put([]*anypb.Any{{TypeUrl: stream.TypeURL(control.Limits), Value: []byte{0xff}}}))
-	everywhere("an older number", 1, 4, 5, put(settings(t, 1, func(s *control.Set) { s.Limits.Attempts = 2 })))
-	everywhere("a good version after them", 2, 8, 5, put(settings(t, 2, nil)))
+	everywhere("a good version", 1, 5, 0, put(settings(t, 1, nil)))
+	everywhere("a malformed one", 1, 5, 1, put([]*anypb.Any{{TypeUrl: stream.TypeURL(control.Limits), Value: []byte{0xff}}}))
+	everywhere("an older number", 1, 5, 6, put(settings(t, 1, func(s *control.Set) { s.Limits.Attempts = 2 })))
+	everywhere("a good version after them", 2, 10, 6, put(settings(t, 2, nil)))
+	// A list that empties the fleet is refused by every one, and all keep theirs.
+	c.Set(nil, "")
+	until(t, "the empty list refused by all", func() bool {
+		refused := map[string]bool{}
+		for _, r := range c.Replies() {
+			if strings.Contains(r.Refused, "floor") {
+				refused[r.Dispatcher] = true
+			}
+		}
+		return len(refused) == *many
+	})
+	c.Set([]standin.Listed{{Name: "node-0", Address: node.Address}}, "")
+	t.Logf("%d bytes of resources sent in all, %d a dispatcher", c.Bytes(), c.Bytes() / *many)
 	c.Stop()
 	for _, d := range all {
 		if s, _ := d.ControlStatus(); s.Number != 2 {
@@ -114,7 +128,7 @@
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	everywhere("the service back", 2, 12, 5, func() {})
+	everywhere("the service back", 2, 15, 6, func() {})
 	var back []time.Duration
 	for _, at := range c.Streams()[before:] {
 		back = append(back, at.Sub(begin))
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -37,6 +37,7 @@
 	held     prometheus.Gauge
 	limit    prometheus.Gauge
 	version  prometheus.Gauge
+	pause    prometheus.Histogram
 }
 
 // querySpans are the open spans of one query.
@@ -80,10 +81,12 @@
 		Help: "Queries without a final answer."})
 	o.version = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "settings_changes",
 		Help: "Changes of settings since the start."})
+	o.pause = prometheus.NewHistogram(prometheus.HistogramOpts{Namespace: "embershunt", Name: "change_pause_seconds",
+		Help: "How long the loop was held by a change of the settings.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 12)})
 	o.limit = prometheus.NewGauge(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_queries_limit",
 		Help: "Most queries that may be held."})
 	o.limit.Set(float64(cfg.Settings.MaxHeld))
-	r.MustRegister(o.latency, o.steps, o.events, o.actions, o.held, o.limit, o.version)
+	r.MustRegister(o.latency, o.steps, o.events, o.actions, o.held, o.limit, o.version, o.pause)
 	return o
 }
 
@@ -175,6 +178,9 @@
 	o.limit.Set(float64(s.MaxHeld))
 }
 
+// Paused implements dispatch.Observer.
+func (o *observer) Paused(d dispatch.Micros) { o.pause.Observe(float64(d) / 1e6) }
+
 // Note implements dispatch.Observer.
 func (o *observer) Note(text string) { o.log.Info(text, "from", "module") }
 
--- /dev/null
+++ b/dispatcher/store_test.go
@@ -0,0 +1,76 @@
+package dispatcher_test
+
+import (
+	"context"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+
+	"embershunt/control/stream"
+	"embershunt/standin"
+)
+
+// The store fails under a running dispatcher: the version is refused with the reason, the one before stays in force, and
+// queries go on.
+func TestAStoreThatFailsWhileRunning(t *testing.T) {
+	c := standin.NewControl("nodes")
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	file := filepath.Join(t.TempDir(), "versions.db")
+	r := controlled(t, c, 1, `, "store": "`+file+`"`)
+	c.Set(listed(r), "")
+	c.Put(stream.SettingsName, settings(t, 1, nil)...)
+	until(t, "set 1 in force", func() bool { s, _ := r.d.ControlStatus(); return s.Number == 1 })
+	r.d.BreakStore()
+	c.Put(stream.SettingsName, settings(t, 2, nil)...)
+	until(t, "set 2 refused", func() bool { return len(c.Nacks()) > 0 })
+	if n := c.Nacks()[0]; !strings.Contains(n, "store: ") {
+		t.Errorf("refused with %q", n)
+	}
+	if s, _ := r.d.ControlStatus(); s.Number != 1 {
+		t.Errorf("in force is %d", s.Number)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+	defer cancel()
+	if _, err := r.query(ctx, "SELECT 1"); err != nil {
+		t.Error(err)
+	}
+}
+
+// A store that was damaged on the disk is told at the start, and nothing is made of it.
+func TestADamagedStoreFile(t *testing.T) {
+	c := standin.NewControl("nodes")
+	if err := c.Start(); err != nil {
+		t.Fatal(err)
+	}
+	defer c.Stop()
+	file := filepath.Join(t.TempDir(), "versions.db")
+	r := controlled(t, c, 1, `, "store": "`+file+`"`)
+	c.Set(listed(r), "")
+	for n := uint64(1); n <= 2; n++ {
+		c.Put(stream.SettingsName, settings(t, n, nil)...)
+		until(t, "a set in force", func() bool { s, _ := r.d.ControlStatus(); return s.Number == n })
+	}
+	address := r.d.Address()
+	r.cancel()
+	r.ended <- <-r.ended
+	text, err := os.ReadFile(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	// The newest record holds the last "lookup" in the file's live pages; every copy of it is hit.
+	at := strings.LastIndex(string(text), "lookup")
+	text[at] = 'L'
+	if err := os.WriteFile(file, text, 0o600); err != nil {
+		t.Fatal(err)
+	}
+	r.start(address)
+	if s, _ := r.d.ControlStatus(); s.Number != 1 && s.Number != 2 {
+		t.Errorf("started in set %d", s.Number)
+	}
+	until(t, "set 2 in force again", func() bool { s, _ := r.d.ControlStatus(); return s.Number == 2 })
+}
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -35,27 +35,27 @@
 
 // Options are the front's settings; zero values mean the defaults.
 type Options struct {
-	Log          *slog.Logger
-	Clock        dispatch.Clock
-	Tables       Tables
-	Auth         Authenticator
-	Seal         *seal.Sealer
-	WayBack      time.Duration // kept of each deadline for the way back; default 10 ms, a tenth of it at most
-	TicketLife   time.Duration // default 10 min
-	PreparedLife time.Duration // default 24 h
-	BearerLife   time.Duration // default 1 h
-	MaxStatement int           // bytes; default 2 MiB
-	MaxParams    int           // bytes of bound parameters; default 256 KiB
-	SchemaLife   time.Duration // how long a statement's schema is cached; default 5 min
-	SchemaMost   int           // statements cached; default 4096
-	PassHeaders  []string      // call headers passed on to nodes
+	Log         *slog.Logger
+	Clock       dispatch.Clock
+	Tables      Tables
+	Auth        Authenticator
+	Seal        *seal.Sealer
+	SchemaLife  time.Duration // how long a statement's schema is cached; default 5 min
+	SchemaMost  int           // statements cached; default 4096
+	PassHeaders []string      // call headers passed on to nodes
 }
 
-// Tables are what changes with the settings: the classification and the class's deadlines, where a call states none.
+// Tables are what changes with the settings.
 type Tables struct {
-	Version   uint64 // of the settings that number the classes
-	Classes   *classify.Table
-	Deadlines []time.Duration // by class
+	Version      uint64 // of the settings that number the classes
+	Classes      *classify.Table
+	Deadlines    []time.Duration // by class, where a call states none
+	WayBack      time.Duration   // kept of each deadline for the way back, a tenth of it at most
+	TicketLife   time.Duration
+	PreparedLife time.Duration
+	BearerLife   time.Duration
+	MaxStatement int // bytes; may not pass that of the start
+	MaxParams    int // bytes of bound parameters; likewise
 }
 
 // SetTables puts other tables in force for the calls that come from now on.
@@ -64,20 +64,11 @@
 }
 
 func (o *Options) defaults() {
-	set := func(d *time.Duration, v time.Duration) {
-		if *d == 0 {
-			*d = v
-		}
+	if o.SchemaLife == 0 {
+		o.SchemaLife = 5 * time.Minute
 	}
-	set(&o.WayBack, 10*time.Millisecond)
-	set(&o.TicketLife, 10*time.Minute)
-	set(&o.PreparedLife, 24*time.Hour)
-	set(&o.BearerLife, time.Hour)
-	set(&o.SchemaLife, 5*time.Minute)
-	for p, v := range map[*int]int{&o.MaxStatement: 2 << 20, &o.MaxParams: 256 << 10, &o.SchemaMost: 4096} {
-		if *p == 0 {
-			*p = v
-		}
+	if o.SchemaMost == 0 {
+		o.SchemaMost = 4096
 	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
@@ -114,7 +105,7 @@
 // statement and its parameters must fit; headers of more than 64 KiB are turned away by the transport.
 func (f *Front) ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{grpc.ForceServerCodecV2(flightwire.Codec{}),
-		grpc.MaxRecvMsgSize(f.opt.MaxStatement + f.opt.MaxParams + 64<<10), grpc.MaxHeaderListSize(64 << 10),
+		grpc.MaxRecvMsgSize(f.tables.Load().MaxStatement + f.tables.Load().MaxParams + 64<<10), grpc.MaxHeaderListSize(64 << 10),
 		grpc.MaxConcurrentStreams(10000)}
 }
 
@@ -207,12 +198,12 @@
 // ask hands a query to the dispatcher and waits for its final answer. The client's leaving is passed on; the answer
 // then comes at once.
 func (f *Front) ask(c *caller, w work) (dispatch.Verdict, error) {
-	if len(w.statement) > f.opt.MaxStatement {
+	tables := f.tables.Load()
+	if len(w.statement) > tables.MaxStatement {
 		return dispatch.Verdict{}, status.Errorf(codes.InvalidArgument, "statement of %d bytes, allowed are %d",
-			len(w.statement), f.opt.MaxStatement)
+			len(w.statement), tables.MaxStatement)
 	}
 	f.read(c)
-	tables := f.tables.Load()
 	traits, err := tables.Classes.Classify(classify.Facts{User: c.user, Header: c.header, Option: c.option,
 		Statement: w.statement, Command: w.command})
 	if err != nil {
@@ -224,7 +215,7 @@
 	if d, ok := c.ctx.Deadline(); ok {
 		left = time.Until(d)
 	}
-	left -= min(f.opt.WayBack, left/10)
+	left -= min(tables.WayBack, left/10)
 	for _, h := range f.opt.PassHeaders {
 		for _, v := range c.headers.Get(h) {
 			w.call.Headers = append(w.call.Headers, h, v)
--- a/standin/control.go
+++ b/standin/control.go
@@ -14,6 +14,7 @@
 	endpointv3 "github.com/envoyproxy/go-control-plane/envoy/config/endpoint/v3"
 	discoveryv3 "github.com/envoyproxy/go-control-plane/envoy/service/discovery/v3"
 	"google.golang.org/grpc"
+	"google.golang.org/protobuf/proto"
 	"google.golang.org/protobuf/types/known/anypb"
 	"google.golang.org/protobuf/types/known/structpb"
 )
@@ -43,6 +44,7 @@
 	pushed    []Push
 	streams   []time.Time // when each stream began
 	sets      map[uint64][]*anypb.Any
+	bytes     int // of all responses
 	choose    func(dispatcher string) uint64
 	reply     func(dispatcher string, number uint64, refused string)
 }
@@ -205,6 +207,13 @@
 	return append([]Reply(nil), c.replies...)
 }
 
+// Bytes is the size of all resources sent.
+func (c *Control) Bytes() int {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.bytes
+}
+
 // Streams returns when each stream began, in order.
 func (c *Control) Streams() []time.Time {
 	c.mu.Lock()
@@ -275,6 +284,7 @@
 			continue
 		}
 		s.sent[url] = r.version
+		c.bytes += proto.Size(r.any)
 		out = append(out, r)
 		if url == edsType && r.any.GetValue() != nil && r.any.GetValue()[0] != 0xff {
 			p := Push{At: time.Now(), Dispatcher: s.who, Nonce: strconv.Itoa(r.version)}
--- a/store/crash_test.go
+++ b/store/crash_test.go
@@ -5,8 +5,6 @@
 	"path/filepath"
 	"testing"
 
-	"google.golang.org/protobuf/proto"
-
 	"embershunt/config"
 	"embershunt/control"
 	"embershunt/control/configv1"
@@ -46,7 +44,7 @@
 // were and which set the dispatcher then runs by.
 func (w *world) offer(m *control.Module, s control.Set, dieAfter int) (steps int) {
 	queue := []control.Event{}
-	for k, p := range []proto.Message{s.Classes, s.Tenants, s.Limits, s.Classification} {
+	for k, p := range s.Parts() {
 		queue = append(queue, control.Offered{Kind: control.Kind(k), Version: "v", Nonce: fmt.Sprint(k), Message: p})
 	}
 	for len(queue) > 0 {
@@ -84,7 +82,7 @@
 		s.Classes.Classes = []*configv1.Class{{Name: "lookup", AimUs: 1e6, DeadlineUs: 2e6}}
 		return s
 	}
-	const all = 6 // store, apply, four acknowledgements
+	const all = 7 // store, apply, five acknowledgements
 	for point := 0; point <= all; point++ {
 		t.Run(fmt.Sprintf("after %d steps", point), func(t *testing.T) {
 			w := &world{t: t, path: filepath.Join(t.TempDir(), "s.db"), acked: map[uint64]bool{}}
--- a/store/store.go
+++ b/store/store.go
@@ -158,11 +158,11 @@
 	return out, err
 }
 
-// A record is a format version, a checksum (xxHash64 of what follows) and the set: number as field 1, the four resources
-// as fields 2 to 5.
+// A record is a format version, a checksum (xxHash64 of what follows) and the set: number as field 1, the five resources
+// as fields 2 to 6.
 func encode(set control.Set) ([]byte, error) {
 	body := flightwire.AppendVarint(nil, 1, set.Number)
-	for i, m := range []proto.Message{set.Classes, set.Tenants, set.Limits, set.Classification} {
+	for i, m := range set.Parts() {
 		b, err := proto.Marshal(m)
 		if err != nil {
 			return nil, fmt.Errorf("store: %w", err)
@@ -189,11 +189,11 @@
 		return control.Set{}, err
 	}
 	set := control.Set{Number: varints[1], Classes: &configv1.Classes{}, Tenants: &configv1.Tenants{},
-		Limits: &configv1.Limits{}, Classification: &configv1.Classification{}}
-	parts := []proto.Message{set.Classes, set.Tenants, set.Limits, set.Classification}
+		Limits: &configv1.Limits{}, Classification: &configv1.Classification{}, Fronts: &configv1.Fronts{}}
+	parts := set.Parts()
 	for _, f := range fields {
-		if f.Number < 2 || f.Number > 5 {
-			return control.Set{}, fmt.Errorf("field %d, known are 1 to 5", f.Number)
+		if f.Number < 2 || f.Number > 6 {
+			return control.Set{}, fmt.Errorf("field %d, known are 1 to 6", f.Number)
 		}
 		if err := proto.Unmarshal(f.Value, parts[f.Number-2]); err != nil {
 			return control.Set{}, fmt.Errorf("field %d: %w", f.Number, err)
--- a/store/store_test.go
+++ b/store/store_test.go
@@ -15,7 +15,8 @@
 
 func set(n uint64) control.Set {
 	return control.Set{Number: n, Classes: &configv1.Classes{Set: n, Classes: []*configv1.Class{{Name: "lookup", AimUs: 5}}},
-		Tenants: &configv1.Tenants{Set: n}, Limits: &configv1.Limits{Set: n, Attempts: 3}, Classification: &configv1.Classification{Set: n}}
+		Tenants: &configv1.Tenants{Set: n}, Limits: &configv1.Limits{Set: n, Attempts: 3}, Classification: &configv1.Classification{Set: n},
+		Fronts: &configv1.Fronts{Set: n}}
 }
 
 func open(t *testing.T, path string) *Store {
