Crash points with a killed process; a store that is read-only or cannot grow

The table of crash points was played in one process; it now kills a process of its own at each of eight points between taking and the last acknowledgement. Seen: set 1 when killed before the store, set 2 from then on, and offered again it is acknowledged. Read-only and a file that may not grow (RLIMIT_FSIZE): refused, the version before is there after.

--- a/store/crash_test.go
+++ b/store/crash_test.go
@@ -1,10 +1,19 @@
 package store
 
 import (
+	"errors"
 	"fmt"
+	"os"
+	"os/exec"
+	"os/signal"
 	"path/filepath"
+	"strconv"
+	"strings"
+	"syscall"
 	"testing"
 
+	"go.etcd.io/bbolt"
+
 	"embershunt/config"
 	"embershunt/control"
 	"embershunt/control/configv1"
@@ -16,6 +25,7 @@
 	path  string
 	store *Store
 	acked map[uint64]bool
+	tell  func() // at each acknowledgement; nil: nobody
 }
 
 func (w *world) local() config.File {
@@ -65,6 +75,9 @@
 				queue = append(queue, control.Applied{Number: a.Set.Number})
 			case control.Ack:
 				w.acked[s.Number] = true
+				if w.tell != nil {
+					w.tell()
+				}
 			case control.Nack:
 				w.t.Fatalf("refused: %v", a.Reasons)
 			}
@@ -73,60 +86,131 @@
 	return steps
 }
 
-// A dispatcher that is killed at any point between taking a version and the last acknowledgement comes back in a state
-// that is whole: the old set or the new one, never one that was acknowledged and is gone; offered again, the new set is
-// taken or acknowledged as in force.
-func TestKilledAtEveryStep(t *testing.T) {
-	good := func(n uint64) control.Set {
-		s := set(n)
-		s.Classes.Classes = []*configv1.Class{{Name: "lookup", AimUs: 1e6, DeadlineUs: 2e6}}
-		return s
+// crashed runs this test binary again as a process of its own, which TestMain sends into child.
+func crashed(t *testing.T, path, mode string) string {
+	t.Helper()
+	cmd := exec.Command(os.Args[0], "-test.run=^$")
+	cmd.Env = append(os.Environ(), "STORE_CHILD="+mode, "STORE_PATH="+path)
+	out, err := cmd.Output()
+	if mode != "full" {
+		if exit := new(exec.ExitError); !errors.As(err, &exit) || exit.Sys().(syscall.WaitStatus).Signal() != syscall.SIGKILL {
+			t.Fatalf("the child was not killed: %v", err)
+		}
+	} else if err != nil {
+		t.Fatalf("child: %v, %s", err, out)
+	}
+	return string(out)
+}
+
+func TestMain(m *testing.M) {
+	if mode := os.Getenv("STORE_CHILD"); mode != "" {
+		child(mode, os.Getenv("STORE_PATH"))
+		return
+	}
+	os.Exit(m.Run())
+}
+
+func good(n uint64) control.Set {
+	s := set(n)
+	s.Classes.Classes = []*configv1.Class{{Name: "lookup", AimUs: 1e6, DeadlineUs: 2e6}}
+	return s
+}
+
+// child takes set 2 and kills itself after so many steps, telling each acknowledgement as it is sent; or it writes to a
+// store whose file may not grow.
+func child(mode, path string) {
+	w := &world{t: &testing.T{}, path: path, acked: map[uint64]bool{}}
+	if mode == "full" {
+		signal.Ignore(syscall.SIGXFSZ)
+		s, err := Open(path, 3)
+		if err != nil {
+			fmt.Println("open:", err)
+			return
+		}
+		info, _ := os.Stat(path)
+		limit := syscall.Rlimit{Cur: uint64(info.Size()), Max: uint64(info.Size())}
+		if err := syscall.Setrlimit(syscall.RLIMIT_FSIZE, &limit); err != nil {
+			fmt.Println("limit:", err)
+			return
+		}
+		big := good(2)
+		for i := range 5000 {
+			big.Classes.Classes = append(big.Classes.Classes, &configv1.Class{Name: fmt.Sprintf("class-%d", i), AimUs: 1, DeadlineUs: 1})
+		}
+		fmt.Println("put:", s.Put(big))
+		return
 	}
-	const all = 7 // store, apply, five acknowledgements
-	for point := 0; point <= all; point++ {
+	point, _ := strconv.Atoi(mode)
+	m, _ := w.start()
+	w.tell = func() { os.Stdout.WriteString("ack\n") }
+	w.offer(m, good(2), point)
+	syscall.Kill(os.Getpid(), syscall.SIGKILL)
+	select {}
+}
+
+// A dispatcher that is killed outright at any point between taking a version and the last acknowledgement comes back in a
+// state that is whole: the old set or the new one, never one that was acknowledged and is gone; offered again, the new set
+// is taken or acknowledged as in force.
+func TestKilledOutrightAtEveryStep(t *testing.T) {
+	for point := 0; point <= 7; point++ { // store, apply, five acknowledgements
 		t.Run(fmt.Sprintf("after %d steps", point), func(t *testing.T) {
 			w := &world{t: t, path: filepath.Join(t.TempDir(), "s.db"), acked: map[uint64]bool{}}
 			m, _ := w.start()
-			if n := w.offer(m, good(1), 99); n != all {
-				t.Fatalf("%d steps, want %d", n, all)
-			}
-			w.offer(m, good(2), point)
-			w.store.Close() // what bbolt has acknowledged is on the disk; nothing else survives
-
+			w.offer(m, good(1), 99)
+			w.store.Close()
+			acked := strings.Contains(crashed(t, w.path, fmt.Sprint(point)), "ack")
 			m, number := w.start()
 			defer w.store.Close()
-			want := uint64(2)
-			if point == 0 {
-				want = 1
+			if acked != (point > 2) {
+				t.Errorf("acknowledged: %v", acked)
 			}
-			if number != want {
+			if want := uint64(min(point, 1) + 1); number != want {
 				t.Errorf("came back in set %d, want %d", number, want)
 			}
-			if w.acked[2] && number != 2 {
-				t.Error("set 2 was acknowledged and is gone")
-			}
-			w.offer(m, good(2), 99)
-			if !w.acked[2] || m.InForce().Number != 2 {
+			w.acked[2] = false
+			if w.offer(m, good(2), 99); !w.acked[2] || m.InForce().Number != 2 {
 				t.Errorf("offered again: acknowledged %v, in force is %d", w.acked[2], m.InForce().Number)
 			}
 		})
 	}
 }
 
-// A store that cannot be written refuses the version; the one before stays in force and in the store.
+// A store that cannot be written refuses the version; the one before stays in the store.
 func TestAStoreThatCannotBeWritten(t *testing.T) {
-	path := filepath.Join(t.TempDir(), "s.db")
-	s := open(t, path)
-	if err := s.Put(set(1)); err != nil {
-		t.Fatal(err)
-	}
-	s.Close() // every write fails from now on, as on a full or read-only disk
-	if err := s.Put(set(2)); err == nil {
-		t.Fatal("written to a closed store")
+	cases := map[string]func(t *testing.T, path string) string{
+		"closed": func(t *testing.T, path string) string {
+			s := open(t, path)
+			s.Close()
+			return fmt.Sprint(s.Put(good(2)))
+		},
+		"read-only": func(t *testing.T, path string) string {
+			db, err := bbolt.Open(path, 0o600, &bbolt.Options{ReadOnly: true})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer db.Close()
+			return fmt.Sprint((&Store{db: db, keep: 3}).Put(good(2)))
+		},
+		"full": func(t *testing.T, path string) string { return crashed(t, path, "full") }, // the file may not grow
 	}
-	s = open(t, path)
-	defer s.Close()
-	if got, _, err := s.Last(); err != nil || got.Number != 1 {
-		t.Errorf("%d, %v", got.Number, err)
+	for name, put := range cases {
+		t.Run(name, func(t *testing.T) {
+			path := filepath.Join(t.TempDir(), "s.db")
+			s := open(t, path)
+			if err := s.Put(good(1)); err != nil {
+				t.Fatal(err)
+			}
+			s.Close()
+			if said := put(t, path); said == "<nil>" || strings.Contains(said, "put: <nil>") || strings.Contains(said, "limit:") {
+				t.Errorf("written: %s", said)
+			} else {
+				t.Log(strings.TrimSpace(said))
+			}
+			s = open(t, path)
+			defer s.Close()
+			if got, damaged, err := s.Last(); err != nil || got.Number != 1 || len(damaged) > 0 {
+				t.Errorf("%d, %v, %v", got.Number, damaged, err)
+			}
+		})
 	}
 }
