A query behind a change in a step that panics is answered; drain notices are bounded

Found on reading: with a panic while settings change, queries later in the same step had not come to the books and their callers would have waited for ever. They are failed with the rest. Notices of drains were kept for every name ever listed.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -23,6 +23,7 @@
 	draining bool
 	numbers  numbering
 	actions  int // of this step
+	at       int // event of this step that is being played
 	events   []choice.Event
 	extra    []choice.Event
 }
@@ -94,10 +95,17 @@
 		if p := recover(); p != nil {
 			err = &PanicError{p, debug.Stack()}
 			c.FailAll(now, ReasonInternal)
+			for _, ev := range events[min(c.at+1, len(events)):] { // those that had not come to the books
+				if t, ok := ev.(Taken); ok {
+					t.Query.Client.Answer(Verdict{Final: Failed, Reason: ReasonInternal})
+				}
+			}
 		}
 	}()
 	c.events, c.actions = c.events[:0], 0
-	for _, ev := range events {
+	c.at = 0
+	for i, ev := range events {
+		c.at = i
 		if ch, ok := ev.(Change); ok { // the module hears first of what came before it
 			c.play(now)
 			ch.Done(c.change(ch))
@@ -116,6 +124,7 @@
 		c.events = append(c.events, choice.Alarm{})
 		c.woken = false
 	}
+	c.at = len(events)
 	c.play(now)
 	c.report(len(events), c.actions)
 	return nil
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -182,6 +182,13 @@
 	if core.Held() != 0 {
 		t.Errorf("%d still held", core.Held())
 	}
+	// One that stood behind a change in the same step had not come to the books: it is answered too.
+	log, s = &tape{}, &scripted{say: func(Micros, []choice.Event) []choice.Action { panic("no such class") }}
+	core = newTestCore(s, log)
+	core.Step(0, []Event{Taken{log.query("c", 9*ms)}, Change{Version: 1, Done: func(error) {}}, Taken{log.query("d", 9*ms)}})
+	if got := strings.Join(log.lines, "; "); got != "answer c failed DISPATCHER_FAULT; answer d failed DISPATCHER_FAULT" {
+		t.Error(got)
+	}
 }
 
 func TestTurnedAwayBeforeTheModule(t *testing.T) {
--- a/fleet/drain.go
+++ b/fleet/drain.go
@@ -12,6 +12,9 @@
 	most  time.Duration
 }
 
+// drainKept is how long a notice is remembered.
+const drainKept = time.Hour
+
 func (d *drains) notice(node string, draining bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
@@ -22,8 +25,14 @@
 	if d.since == nil {
 		d.since = map[string]time.Time{}
 	}
+	now := time.Now()
+	for id, at := range d.since { // names that come and go do not pile up
+		if now.Sub(at) > drainKept {
+			delete(d.since, id)
+		}
+	}
 	if _, ok := d.since[node]; !ok {
-		d.since[node] = time.Now()
+		d.since[node] = now
 	}
 }
 
