--- /dev/null
+++ b/internal/native/native_test.go
@@ -0,0 +1,191 @@
+package native
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"strings"
+	"testing"
+	"testing/iotest"
+	"time"
+
+	"github.com/ClickHouse/ch-go/proto"
+	"pgregory.net/rapid"
+)
+
+const most = 1 << 20
+
+// dataPacket encodes a Data packet with an independent implementation of the protocol.
+func dataPacket(t testing.TB, revision int, input proto.Input, rows int) []byte {
+	var b proto.Buffer
+	b.PutUVarInt(ServerData)
+	b.PutString("")
+	if err := (proto.Block{Rows: rows, Columns: len(input), Info: proto.BlockInfo{BucketNum: -1}}).EncodeBlock(&b, revision, input); err != nil {
+		t.Fatal(err)
+	}
+	return b.Buf
+}
+
+// The end of every block is found, whatever columns it has, however its bytes come in, at revisions with and without the
+// mark of the serialization.
+func TestBoundariesOfBlocks(t *testing.T) {
+	rapid.Check(t, func(r *rapid.T) {
+		rows := rapid.IntRange(1, 20).Draw(r, "rows")
+		var text proto.ColStr
+		var small proto.ColUInt8
+		var wide proto.ColInt256
+		nulls := new(proto.ColStr).Nullable()
+		lists := proto.NewArray[string](new(proto.ColStr))
+		nested := proto.NewArray[[]uint64](proto.NewArray[uint64](new(proto.ColUInt64)))
+		low := new(proto.ColStr).LowCardinality()
+		lowLists := proto.NewArray[string](new(proto.ColStr).LowCardinality())
+		pairs := proto.NewMap[string, uint64](new(proto.ColStr), new(proto.ColUInt64))
+		var when proto.ColDateTime64
+		when.WithPrecision(3)
+		word := rapid.StringN(0, 300, 300)
+		for range rows {
+			text.Append(word.Draw(r, "text"))
+			small.Append(1)
+			wide.Append(proto.Int256{})
+			nulls.Append(proto.NewNullable(word.Draw(r, "nullable")))
+			lists.Append(rapid.SliceOfN(word, 0, 3).Draw(r, "list"))
+			nested.Append([][]uint64{{1, 2}, {}, {3}})
+			low.Append(rapid.SampledFrom([]string{"a", "b", ""}).Draw(r, "low"))
+			lowLists.Append([]string{"x", "y"})
+			pairs.Append(map[string]uint64{word.Draw(r, "key"): 1})
+			when.Append(time.Unix(1, 0))
+		}
+		all := proto.Input{{Name: "text", Data: &text}, {Name: "small", Data: &small}, {Name: "wide", Data: &wide},
+			{Name: "nulls", Data: nulls}, {Name: "lists", Data: lists}, {Name: "nested", Data: nested}, {Name: "low", Data: low},
+			{Name: "lowLists", Data: lowLists}, {Name: "pairs", Data: pairs}, {Name: "when", Data: &when}}
+		input := proto.Input{}
+		for _, c := range all {
+			if rapid.Bool().Draw(r, c.Name) {
+				input = append(input, c)
+			}
+		}
+		if len(input) == 0 {
+			input = all[:1]
+		}
+		revision := rapid.SampledFrom([]int{Oldest, revSerialKind - 1, revSerialKind, Newest}).Draw(r, "revision")
+		packet := dataPacket(t, revision, input, rows)
+		stream := append(append([]byte(nil), packet...), ServerEndOfStream)
+		in := NewReader(iotest.HalfReader(bytes.NewReader(stream)), most)
+		p, err := in.ReadServer(revision)
+		if err != nil || !bytes.Equal(p.Raw, packet) || p.Block.Rows != rows || p.Block.Columns != len(input) {
+			r.Fatalf("%d of %d bytes, %+v, %v", len(p.Raw), len(packet), p.Block, err)
+		}
+		if p, err = in.ReadServer(revision); err != nil || p.Code != ServerEndOfStream {
+			r.Fatalf("behind it: %+v, %v", p, err)
+		}
+		// Cut anywhere, it is a cut packet and nothing else.
+		at := rapid.IntRange(1, len(packet)-1).Draw(r, "cut")
+		if _, err := NewReader(bytes.NewReader(packet[:at]), most).ReadServer(revision); !errors.Is(err, io.ErrUnexpectedEOF) {
+			r.Fatalf("cut at %d: %v", at, err)
+		}
+	})
+}
+
+// What an unmodified client sends is read, and written again it is the same bytes.
+func TestQueryOfAnotherImplementation(t *testing.T) {
+	for _, revision := range []int{Oldest, revInterserver, revTelemetry, revDepth, revStartTime, revReplicas, revAddendum, Newest} {
+		var b proto.Buffer
+		q := proto.Query{ID: "id", Body: "SELECT 1", Compression: proto.CompressionEnabled, Settings: []proto.Setting{{Key: "max_execution_time", Value: "3", Important: true}},
+			Parameters: []proto.Parameter{{Key: "p", Value: "'1'"}}, Info: proto.ClientInfo{ProtocolVersion: revision, Major: 1, Minor: 2, Interface: proto.InterfaceTCP,
+				Query: proto.ClientQueryInitial, InitialUser: "u", ClientName: "c"}}
+		q.EncodeAware(&b, revision)
+		in := NewReader(bytes.NewReader(b.Buf), most)
+		if code, err := in.ReadClient(); err != nil || code != ClientQuery {
+			t.Fatal(code, err)
+		}
+		got, err := in.ReadQuery(revision)
+		if err != nil || got.Text != "SELECT 1" || len(got.Settings) != 1 || got.Settings[0].Value != "3" || !got.Compression {
+			t.Fatalf("revision %d: %+v, %v", revision, got, err)
+		}
+		if again := got.Encode(revision); !bytes.Equal(again, b.Buf) {
+			t.Errorf("revision %d: written again it differs:\n%x\n%x", revision, again, b.Buf)
+		}
+	}
+}
+
+func TestWhatCannotBeRead(t *testing.T) {
+	huge := append(PutUvarint(PutText(PutUvarint(nil, ServerData), ""), 0), 1, 1, 1, 'c', 6)
+	huge = append(append(huge, "String"...), 0, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0x7f)
+	strange := append(PutUvarint(PutText(PutUvarint(nil, ServerData), ""), 0), 1, 1, 1, 'c', 4)
+	strange = append(append(strange, "JSON"...), 0)
+	cases := []struct {
+		name  string
+		bytes []byte
+		says  string
+	}{
+		{"an unknown packet", []byte{99}, "found 99"},
+		{"an enormous length", huge, "packets of 1048576 bytes at most"},
+		{"a type whose end is not known", strange, `"JSON" is not known`},
+		{"an endless number", bytes.Repeat([]byte{0x80}, 12), "more than 64 bits"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			in := NewReader(bytes.NewReader(c.bytes), most)
+			_, err := in.ReadServer(Newest)
+			var f *FormatError
+			if !errors.As(err, &f) || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("%v, want %q", err, c.says)
+			}
+			if cap(in.raw) > 4*chunk {
+				t.Errorf("%d bytes were allocated for %d", cap(in.raw), len(c.bytes))
+			}
+		})
+	}
+	if _, err := NewReader(strings.NewReader("GET / HTTP/1.1\r\n"), most).ReadHello(); err == nil || !strings.Contains(err.Error(), "HTTP") {
+		t.Errorf("HTTP: %v", err)
+	}
+}
+
+func TestTypes(t *testing.T) {
+	for name, ok := range map[string]bool{"Decimal(38, 2)": true, "Enum8('a,(b)' = 1, 'c\\'' = 2)": true, "Tuple(a UInt8, b Array(String))": true,
+		"Nested(a UInt8, b String)": true, "MultiPolygon": true, "SimpleAggregateFunction(sum, UInt64)": true, "DateTime64(3, 'UTC')": true,
+		"LowCardinality(Nullable(String))": true, "FixedString(0)": false, "FixedString(x)": false, "Array": false, "Array(UInt8": false, "Tuple()": false,
+		"Decimal(99)": false, "AggregateFunction(sum, UInt8)": false, "Variant(UInt8, String)": false, strings.Repeat("Array(", 100) + "UInt8" + strings.Repeat(")", 100): false} {
+		if _, err := parseType(name, 0); (err == nil) != ok {
+			t.Errorf("%.40s: %v", name, err)
+		}
+	}
+}
+
+// Nothing that a server sends makes the parser panic, read past the end or allocate more than came.
+func FuzzServer(f *testing.F) {
+	var low = new(proto.ColStr).LowCardinality()
+	low.Append("a")
+	f.Add(dataPacket(f, Newest, proto.Input{{Name: "l", Data: low}}, 1), Newest)
+	f.Add((&Exception{Code: 1, Name: "n", Nested: &Exception{Code: 2}}).Encode(), Oldest)
+	f.Add([]byte{ServerProgress, 1, 2, 3, 4, 5, 6}, Newest)
+	f.Fuzz(func(t *testing.T, b []byte, revision int) {
+		in := NewReader(bytes.NewReader(b), 1<<16)
+		for read := 0; ; {
+			p, err := in.ReadServer(revision)
+			if err != nil {
+				return
+			}
+			if read += len(p.Raw); read > len(b) {
+				t.Fatalf("%d bytes read of %d", read, len(b))
+			}
+		}
+	})
+}
+
+func FuzzClient(f *testing.F) {
+	f.Add(Hello{Name: "c", Revision: Newest, User: "u"}.Encode(), Newest)
+	f.Add(Query{ID: "q", Info: []byte{0}, Stage: 2, Text: "SELECT 1"}.Encode(Newest), Newest)
+	f.Fuzz(func(t *testing.T, b []byte, revision int) {
+		NewReader(bytes.NewReader(b), 1<<16).ReadHello()
+		in := NewReader(bytes.NewReader(b), 1<<16)
+		if code, err := in.ReadClient(); err == nil && code == ClientQuery {
+			if q, err := in.ReadQuery(revision); err == nil && len(q.Encode(revision)) > len(b)+16 {
+				t.Fatal("written again it is longer than it came")
+			}
+		}
+		NewReader(bytes.NewReader(b), 1<<16).ReadServerHello()
+		in = NewReader(bytes.NewReader(b), 1<<16)
+		in.ReadClientData(revision)
+	})
+}
