Refactor: what the fronts share, from a classified call to its answer, in one package

The second front needs the same desk as the first: tables that settings change, classification, deadline, the wait for the one answer.

--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -154,7 +154,7 @@
 		select {
 		case err := <-done:
 			if err == nil {
-				c.d.front.SetTables(tables(a.Config, version))
+				c.d.desk.SetTables(tables(a.Config, version))
 			}
 			c.tell(ctx, control.Applied{Number: a.Set.Number, Err: err})
 		case <-ctx.Done(): // the loop may have ended before it
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -26,6 +26,7 @@
 	"embershunt/control/stream"
 	"embershunt/dispatch"
 	"embershunt/fleet"
+	"embershunt/front"
 	"embershunt/front/flightsql"
 	"embershunt/internal/seal"
 )
@@ -37,6 +38,7 @@
 	clock    dispatch.Clock
 	loop     *dispatch.Loop
 	fleet    *fleet.Fleet
+	desk     *front.Desk
 	front    *flightsql.Front
 	server   *grpc.Server
 	health   *health.Server
@@ -90,7 +92,7 @@
 	}
 	d.loop = dispatch.NewLoop(core, d.clock)
 	d.fleet.Bind(d.loop)
-	var auth flightsql.Authenticator = flightsql.AnyUser{}
+	var auth front.Authenticator = flightsql.AnyUser{}
 	if !f.AnyUser {
 		hashes := map[string]string{}
 		for _, u := range f.Users {
@@ -99,10 +101,10 @@
 		auth = flightsql.NewUsers(hashes)
 	}
 	r := &f.Front
-	d.front = flightsql.New(flightsql.Options{Log: d.log, Clock: d.clock, Tables: tables(cfg, 0),
-		Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(), SchemaMost: r.SchemaMost,
-		PassHeaders: f.Sending.PassHeaders}, d.loop)
-	observer.watch(d.front, d.fleet)
+	d.desk = front.NewDesk(d.loop, d.clock, tables(cfg, 0))
+	d.front = flightsql.New(flightsql.Options{Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
+		SchemaMost: r.SchemaMost, PassHeaders: f.Sending.PassHeaders}, d.desk)
+	observer.watch(d.desk, d.fleet)
 	d.server = grpc.NewServer(append(d.front.ServerOptions(),
 		// Clients that vanished are noticed within this time, so that nothing runs on for them.
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
@@ -131,9 +133,9 @@
 }
 
 // tables are what a configuration tells the front.
-func tables(cfg *config.Config, version uint64) flightsql.Tables {
+func tables(cfg *config.Config, version uint64) front.Tables {
 	r := &cfg.File.Front
-	t := flightsql.Tables{Version: version, Classes: &cfg.Classes, Deadlines: make([]time.Duration, len(cfg.Settings.Classes)),
+	t := front.Tables{Version: version, Classes: &cfg.Classes, Deadlines: make([]time.Duration, len(cfg.Settings.Classes)),
 		WayBack: r.WayBack.D(), TicketLife: r.TicketLife.D(), PreparedLife: r.PreparedLife.D(), BearerLife: r.BearerLife.D(),
 		MaxStatement: r.MaxStatement, MaxParams: r.MaxParams}
 	for i, c := range cfg.Settings.Classes {
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -14,7 +14,7 @@
 	"embershunt/config"
 	"embershunt/dispatch"
 	"embershunt/fleet"
-	"embershunt/front/flightsql"
+	"embershunt/front"
 )
 
 // observer turns what the loop does into metrics, log lines and spans. All but the collectors' own locks is used by
@@ -91,10 +91,10 @@
 }
 
 // watch adds the figures that others keep.
-func (o *observer) watch(front *flightsql.Front, f *fleet.Fleet) {
+func (o *observer) watch(desk *front.Desk, f *fleet.Fleet) {
 	o.registry.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "queries_unruled_total",
-			Help: "Queries that no rule and no hint gave a class."}, func() float64 { return float64(front.Unruled()) }),
+			Help: "Queries that no rule and no hint gave a class."}, func() float64 { return float64(desk.Unruled()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "node_list_failures_total",
 			Help: "Node lists that failed or could not be used."}, func() float64 { return float64(f.ListFailures()) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "drain_last_send_seconds",
--- a/front/flightsql/action.go
+++ b/front/flightsql/action.go
@@ -111,7 +111,7 @@
 	if err != nil {
 		return nil, status.Errorf(codes.Internal, "what the node says of the statement cannot be read: %v", err)
 	}
-	handle := f.opt.Seal.Seal(seal.Prepared, time.Now().Add(f.tables.Load().PreparedLife),
+	handle := f.opt.Seal.Seal(seal.Prepared, time.Now().Add(f.desk.Tables().PreparedLife),
 		sealed{user: c.user, text: text}.encode())
 	result := flightwire.AppendBytes(nil, 1, handle)
 	for _, field := range fields { // dataset and parameter schema, as the node gave them
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -6,12 +6,9 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"math/rand/v2"
 	"strings"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -21,48 +18,21 @@
 
 	"embershunt/classify"
 	"embershunt/dispatch"
+	"embershunt/front"
 	"embershunt/internal/flightwire"
 	"embershunt/internal/seal"
 )
 
-// Poster takes queries and word of clients that left; *dispatch.Loop is one.
-type Poster interface{ Post(dispatch.Event) }
-
-// Authenticator checks a name and password.
-type Authenticator interface {
-	Check(user, password string) bool
-}
-
 // Options are the front's settings; zero values mean the defaults.
 type Options struct {
 	Log         *slog.Logger
-	Clock       dispatch.Clock
-	Tables      Tables
-	Auth        Authenticator
+	Auth        front.Authenticator
 	Seal        *seal.Sealer
 	SchemaLife  time.Duration // how long a statement's schema is cached; default 5 min
 	SchemaMost  int           // statements cached; default 4096
 	PassHeaders []string      // call headers passed on to nodes
 }
 
-// Tables are what changes with the settings.
-type Tables struct {
-	Version      uint64 // of the settings that number the classes
-	Classes      *classify.Table
-	Deadlines    []time.Duration // by class, where a call states none
-	WayBack      time.Duration   // kept of each deadline for the way back, a tenth of it at most
-	TicketLife   time.Duration
-	PreparedLife time.Duration
-	BearerLife   time.Duration
-	MaxStatement int // bytes; may not pass that of the start
-	MaxParams    int // bytes of bound parameters; likewise
-}
-
-// SetTables puts other tables in force for the calls that come from now on.
-func (f *Front) SetTables(t Tables) {
-	f.tables.Store(&t)
-}
-
 func (o *Options) defaults() {
 	if o.SchemaLife == 0 {
 		o.SchemaLife = 5 * time.Minute
@@ -78,34 +48,24 @@
 // Front serves the protocol on a gRPC server made with ServerOptions.
 type Front struct {
 	opt     Options
-	post    Poster
-	prefix  string
-	serial  atomic.Uint64
+	desk    *front.Desk
 	schemas *schemaCache
-	tables  atomic.Pointer[Tables]
-	unruled atomic.Int64
 
 	mu      sync.Mutex
 	running map[string]map[string]bool // ids of running queries by their ticket's serial number
 }
 
-// New returns a front that hands its queries to p.
-func New(o Options, p Poster) *Front {
+// New returns a front that hands its queries over at a desk.
+func New(o Options, d *front.Desk) *Front {
 	o.defaults()
-	f := &Front{opt: o, post: p, prefix: fmt.Sprintf("%08x", rand.Uint32()),
-		schemas: newSchemaCache(o.SchemaMost, o.SchemaLife), running: map[string]map[string]bool{}}
-	f.SetTables(o.Tables)
-	return f
+	return &Front{opt: o, desk: d, schemas: newSchemaCache(o.SchemaMost, o.SchemaLife), running: map[string]map[string]bool{}}
 }
 
-// Unruled counts the queries that no rule and no hint gave a class: they fell in the default one.
-func (f *Front) Unruled() int64 { return f.unruled.Load() }
-
 // ServerOptions are what a gRPC server needs for this front. Messages are read whole, so their size is bounded: a
 // statement and its parameters must fit; headers of more than 64 KiB are turned away by the transport.
 func (f *Front) ServerOptions() []grpc.ServerOption {
 	return []grpc.ServerOption{grpc.ForceServerCodecV2(flightwire.Codec{}),
-		grpc.MaxRecvMsgSize(f.tables.Load().MaxStatement + f.tables.Load().MaxParams + 64<<10), grpc.MaxHeaderListSize(64 << 10),
+		grpc.MaxRecvMsgSize(f.desk.Tables().MaxStatement + f.desk.Tables().MaxParams + 64<<10), grpc.MaxHeaderListSize(64 << 10),
 		grpc.MaxConcurrentStreams(10000)}
 }
 
@@ -189,61 +149,34 @@
 	serial    string // of the ticket; "" where it has none
 }
 
-// asked is one query that waits for its final answer.
-type asked struct{ done chan dispatch.Verdict }
-
-// Answer implements dispatch.Client.
-func (a *asked) Answer(v dispatch.Verdict) { a.done <- v }
-
-// ask hands a query to the dispatcher and waits for its final answer. The client's leaving is passed on; the answer
-// then comes at once.
+// ask hands a query over and waits for its final answer.
 func (f *Front) ask(c *caller, w work) (dispatch.Verdict, error) {
-	tables := f.tables.Load()
-	if len(w.statement) > tables.MaxStatement {
+	if most := f.desk.Tables().MaxStatement; len(w.statement) > most {
 		return dispatch.Verdict{}, status.Errorf(codes.InvalidArgument, "statement of %d bytes, allowed are %d",
-			len(w.statement), tables.MaxStatement)
+			len(w.statement), most)
 	}
 	f.read(c)
-	traits, err := tables.Classes.Classify(classify.Facts{User: c.user, Header: c.header, Option: c.option,
-		Statement: w.statement, Command: w.command})
-	if err != nil {
-		return dispatch.Verdict{}, status.Error(codes.InvalidArgument, err.Error())
-	}
-	f.count(traits)
-	now := f.opt.Clock.Now()
-	left := tables.Deadlines[traits.Class]
+	call := front.Call{Work: w.call, Facts: classify.Facts{User: c.user, Header: c.header, Option: c.option,
+		Statement: w.statement, Command: w.command}}
 	if d, ok := c.ctx.Deadline(); ok {
-		left = time.Until(d)
+		call.Left = max(time.Until(d), 1)
 	}
-	left -= min(tables.WayBack, left/10)
 	for _, h := range f.opt.PassHeaders {
 		for _, v := range c.headers.Get(h) {
 			w.call.Headers = append(w.call.Headers, h, v)
 		}
 	}
-	a := &asked{done: make(chan dispatch.Verdict, 1)}
-	q := &dispatch.Query{ID: fmt.Sprintf("%s-%d", f.prefix, f.serial.Add(1)), Version: tables.Version, Class: traits.Class,
-		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
-		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Due: now + left.Microseconds(), Work: w.call,
-		Client: a}
-	f.enter(w.serial, q.ID)
-	defer f.leave(w.serial, q.ID)
-	f.post.Post(dispatch.Taken{Query: q})
-	select {
-	case v := <-a.done:
-		return v, nil
-	case <-c.ctx.Done():
-		f.post.Post(dispatch.Left{ID: q.ID})
-		return <-a.done, nil
+	id := ""
+	call.Taken = func(taken string) {
+		id = taken
+		f.enter(w.serial, id)
 	}
-}
-
-// count counts what no rule and no hint gave a class.
-func (f *Front) count(t classify.Traits) {
-	if t.Hinted || t.Rule != "" {
-		return
+	v, err := f.desk.Ask(c.ctx, call)
+	if err != nil {
+		return v, status.Error(codes.InvalidArgument, err.Error())
 	}
-	f.unruled.Add(1)
+	f.leave(w.serial, id)
+	return v, nil
 }
 
 func (f *Front) enter(serial, id string) {
@@ -278,7 +211,7 @@
 	}
 	f.mu.Unlock()
 	for _, id := range ids {
-		f.post.Post(dispatch.Left{ID: id})
+		f.desk.Leave(id)
 	}
 	return len(ids) > 0
 }
--- a/front/flightsql/session.go
+++ b/front/flightsql/session.go
@@ -146,7 +146,7 @@
 	if err != nil {
 		return err
 	}
-	token := base64.RawURLEncoding.EncodeToString(f.opt.Seal.Seal(seal.Bearer, time.Now().Add(f.tables.Load().BearerLife),
+	token := base64.RawURLEncoding.EncodeToString(f.opt.Seal.Seal(seal.Bearer, time.Now().Add(f.desk.Tables().BearerLife),
 		[]byte(user)))
 	md := metadata.Pairs("authorization", "Bearer "+token)
 	if err := stream.SetHeader(md); err != nil {
@@ -261,7 +261,7 @@
 		return nil, status.Errorf(codes.InvalidArgument, "session options of %d bytes, allowed are %d", len(payload),
 			sessionMost)
 	}
-	token := f.opt.Seal.Seal(seal.Session, time.Now().Add(f.tables.Load().PreparedLife), payload)
+	token := f.opt.Seal.Seal(seal.Session, time.Now().Add(f.desk.Tables().PreparedLife), payload)
 	cookie := http.Cookie{Name: cookieName, Value: base64.RawURLEncoding.EncodeToString(token), HttpOnly: true}
 	if err := c.stream.SetHeader(metadata.Pairs("set-cookie", cookie.String())); err != nil {
 		return nil, err
--- a/front/flightsql/statement.go
+++ b/front/flightsql/statement.go
@@ -109,7 +109,7 @@
 // info is a FlightInfo whose ticket holds s.
 func (f *Front) info(descriptor []byte, s sealed) []byte {
 	s.serial = newSerial()
-	expires := time.Now().Add(f.tables.Load().TicketLife)
+	expires := time.Now().Add(f.desk.Tables().TicketLife)
 	ticket := f.opt.Seal.Seal(seal.Ticket, expires, s.encode())
 	return flightwire.FlightInfo(nil, descriptor, flightwire.StatementCommand("TicketStatementQuery", ticket),
 		expires.Unix())
@@ -136,9 +136,9 @@
 		return s, malformed(err)
 	case len(s.Transaction) > 0:
 		return s, errTransactions()
-	case !handle && len(s.Text) > f.tables.Load().MaxStatement:
+	case !handle && len(s.Text) > f.desk.Tables().MaxStatement:
 		return s, status.Errorf(codes.InvalidArgument, "statement of %d bytes, allowed are %d", len(s.Text),
-			f.tables.Load().MaxStatement)
+			f.desk.Tables().MaxStatement)
 	case len(s.Text) == 0:
 		return s, status.Errorf(codes.InvalidArgument, "%s: field 1 is empty", cmd.Name)
 	}
@@ -277,8 +277,8 @@
 				header = header || field.Number == 2
 			}
 		}
-		if size += len(kept); size > f.tables.Load().MaxParams {
-			return nil, status.Errorf(codes.InvalidArgument, "parameters of more than %d bytes", f.tables.Load().MaxParams)
+		if size += len(kept); size > f.desk.Tables().MaxParams {
+			return nil, status.Errorf(codes.InvalidArgument, "parameters of more than %d bytes", f.desk.Tables().MaxParams)
 		}
 		if len(kept) > 0 {
 			out = append(out, kept)
@@ -300,7 +300,7 @@
 // bound answers with a handle that holds the parameters (DoPutPreparedStatementResult).
 func (f *Front) bound(p sealed, params [][]byte, stream grpc.ServerStream) error {
 	p.params = params
-	handle := f.opt.Seal.Seal(seal.Prepared, time.Now().Add(f.tables.Load().PreparedLife), p.encode())
+	handle := f.opt.Seal.Seal(seal.Prepared, time.Now().Add(f.desk.Tables().PreparedLife), p.encode())
 	result := flightwire.AppendBytes(nil, 1, handle)
 	return stream.SendMsg(flightwire.NewFrame(flightwire.AppendBytes(nil, 1, result)))
 }
--- /dev/null
+++ b/front/front.go
@@ -0,0 +1,115 @@
+// Package front has what the fronts share: the tables that settings change, and the way from a classified call to the one
+// final answer. A front itself is a protocol: it reads calls and writes answers.
+package front
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync/atomic"
+	"time"
+
+	"embershunt/classify"
+	"embershunt/dispatch"
+)
+
+// Poster takes queries and word of clients that left; *dispatch.Loop is one.
+type Poster interface{ Post(dispatch.Event) }
+
+// Authenticator checks a name and password.
+type Authenticator interface {
+	Check(user, password string) bool
+}
+
+// Tables are what changes with the settings.
+type Tables struct {
+	Version      uint64 // of the settings that number the classes
+	Classes      *classify.Table
+	Deadlines    []time.Duration // by class, where a call states none
+	WayBack      time.Duration   // kept of each deadline for the way back, a tenth of it at most
+	TicketLife   time.Duration
+	PreparedLife time.Duration
+	BearerLife   time.Duration
+	MaxStatement int // bytes; may not pass that of the start
+	MaxParams    int // bytes of bound parameters; likewise
+}
+
+// Desk hands queries to a dispatcher and waits for their answers; all fronts of a dispatcher share one.
+type Desk struct {
+	post    Poster
+	clock   dispatch.Clock
+	prefix  string
+	serial  atomic.Uint64
+	tables  atomic.Pointer[Tables]
+	unruled atomic.Int64
+}
+
+// NewDesk returns a desk with its first tables.
+func NewDesk(p Poster, clock dispatch.Clock, t Tables) *Desk {
+	d := &Desk{post: p, clock: clock, prefix: fmt.Sprintf("%08x", rand.Uint32())}
+	d.SetTables(t)
+	return d
+}
+
+// SetTables puts other tables in force for the calls that come from now on.
+func (d *Desk) SetTables(t Tables) { d.tables.Store(&t) }
+
+// Tables are those in force.
+func (d *Desk) Tables() *Tables { return d.tables.Load() }
+
+// Unruled counts the queries that no rule and no hint gave a class: they fell in the default one.
+func (d *Desk) Unruled() int64 { return d.unruled.Load() }
+
+// Leave tells the dispatcher that a query's client is gone.
+func (d *Desk) Leave(id string) { d.post.Post(dispatch.Left{ID: id}) }
+
+// Call is one query as a front makes it.
+type Call struct {
+	Facts classify.Facts
+	Left  time.Duration // until its deadline; 0: the class's
+	Work  any           // for the fleet
+	MB    float64       // memory hint of the protocol, where rules and hints give none
+	Taken func(id string)
+}
+
+// asked is one query that waits for its final answer.
+type asked struct{ done chan dispatch.Verdict }
+
+// Answer implements dispatch.Client.
+func (a *asked) Answer(v dispatch.Verdict) { a.done <- v }
+
+// Ask hands a query over and waits for its final answer. When ctx ends, the client's leaving is passed on and the answer
+// comes at once. The error is classify's: hints that cannot be used.
+func (d *Desk) Ask(ctx context.Context, c Call) (dispatch.Verdict, error) {
+	tables := d.Tables()
+	traits, err := tables.Classes.Classify(c.Facts)
+	if err != nil {
+		return dispatch.Verdict{}, err
+	}
+	if !traits.Hinted && traits.Rule == "" {
+		d.unruled.Add(1)
+	}
+	now, left := d.clock.Now(), c.Left
+	if left == 0 {
+		left = tables.Deadlines[traits.Class]
+	}
+	left -= min(tables.WayBack, left/10)
+	if traits.MemoryMB == 0 {
+		traits.MemoryMB = c.MB
+	}
+	a := &asked{done: make(chan dispatch.Verdict, 1)}
+	q := &dispatch.Query{ID: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1)), Version: tables.Version, Class: traits.Class,
+		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
+		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Due: now + left.Microseconds(), Work: c.Work, Client: a}
+	if c.Taken != nil {
+		c.Taken(q.ID)
+	}
+	d.post.Post(dispatch.Taken{Query: q})
+	select {
+	case v := <-a.done:
+		return v, nil
+	case <-ctx.Done():
+		d.Leave(q.ID)
+		return <-a.done, nil
+	}
+}
