A second front: SELECT and DDL over the ClickHouse native protocol, on the same core

Many tools speak ClickHouse's native protocol. front/clickhouse takes its sessions, fleet/native.go makes attempts over pooled connections, one attempt life serves both protocols. Head and Progress are kept back until the first rows, so another node may still answer; a connection on which something was left unfinished is not used again.

Seen with unmodified ch-go and clickhouse-go/v2 (database/sql): selects of 3,000 rows, DDL, a node's own exception, ping, cancel seen by the node, nodes that fail fast, turn away, cut within a block, stall within the answer and fall silent. Not served yet: INSERT with the client's data, external tables, compression; each is answered with a clear exception.

--- a/classify/statement.go
+++ b/classify/statement.go
@@ -202,3 +202,24 @@
 		}
 	}
 }
+
+// InsertsClientData tells an INSERT whose rows are to come from the client, behind the statement: it ends with VALUES or
+// FORMAT and a name, or holds neither VALUES nor SELECT.
+func InsertsClientData(statement string) bool {
+	s := scanner{text: statement}
+	first, holds, last := "", false, ""
+	for {
+		kind, word := s.next()
+		if kind == tokenEnd || kind == tokenBroken {
+			break
+		}
+		if last = word; kind == tokenWord {
+			last = strings.ToUpper(word)
+			if first == "" {
+				first = last
+			}
+			holds = holds || last == "VALUES" || last == "SELECT" || last == "WITH"
+		}
+	}
+	return first == "INSERT" && (!holds || last == "VALUES")
+}
--- a/config/config.go
+++ b/config/config.go
@@ -44,6 +44,7 @@
 // Listen has the addresses served.
 type Listen struct {
 	FlightSQL string `json:"flightsql"`
+	Native    string `json:"native"`  // ClickHouse native protocol; empty: none
 	Metrics   string `json:"metrics"` // empty: none
 	Admin     string `json:"admin"`   // path of a Unix socket for emberctl; empty: none
 }
@@ -85,7 +86,8 @@
 // Node is one row of a list in a file.
 type Node struct {
 	Name    string  `json:"name"`
-	Address string  `json:"address"`
+	Address string  `json:"address"` // of Flight SQL
+	Native  string  `json:"native"`  // of the ClickHouse native protocol
 	Hall    string  `json:"hall"`
 	Kind    string  `json:"kind"`
 	Cell    int     `json:"cell"`
@@ -155,6 +157,8 @@
 	Connect     Duration `json:"connect_timeout"`
 	MaxFrame    int      `json:"max_frame_bytes"`
 	PassHeaders []string `json:"pass_headers"`
+	NativeUser  string   `json:"native_user"` // towards nodes, for the native protocol
+	NativePass  string   `json:"native_password"`
 }
 
 // Front bounds what clients may do.
@@ -364,6 +368,7 @@
 	within("number", float64(f.Number), 0, float64(max(f.Peers, 1)-1))
 	address("listen.flightsql", f.Listen.FlightSQL, false)
 	address("listen.metrics", f.Listen.Metrics, true)
+	address("listen.native", f.Listen.Native, true)
 	for i, k := range f.Keys {
 		b, err := hex.DecodeString(k)
 		if err != nil || len(b) != 32 {
--- a/config/nodes.go
+++ b/config/nodes.go
@@ -23,13 +23,13 @@
 
 // row turns a row into what the fleet knows.
 func (c *Config) row(n *Node) (nodelist.Node, error) {
-	out := nodelist.Node{ID: n.Name, Address: n.Address, Cell: n.Cell, Weight: n.Weight}
+	out := nodelist.Node{ID: n.Name, Address: n.Address, Native: n.Native, Cell: n.Cell, Weight: n.Weight}
 	state, ok := states[n.State]
 	if !ok {
 		return out, fmt.Errorf("state %q of node %q: allowed are healthy, draining, gone", n.State, n.Name)
 	}
 	out.State = state
-	if n.Name == "" || n.Address == "" {
+	if n.Name == "" || n.Address == "" && n.Native == "" {
 		return out, fmt.Errorf("node %q at %q: name and address are needed", n.Name, n.Address)
 	}
 	if n.Started != "" {
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -27,6 +27,7 @@
 	"embershunt/dispatch"
 	"embershunt/fleet"
 	"embershunt/front"
+	"embershunt/front/clickhouse"
 	"embershunt/front/flightsql"
 	"embershunt/internal/seal"
 )
@@ -40,6 +41,8 @@
 	fleet    *fleet.Fleet
 	desk     *front.Desk
 	front    *flightsql.Front
+	native   *clickhouse.Front
+	natives  net.Listener
 	server   *grpc.Server
 	health   *health.Server
 	registry *prometheus.Registry
@@ -84,7 +87,7 @@
 		return nil, fmt.Errorf("keys: %w", err)
 	}
 	d.fleet = fleet.New(fleet.Options{Log: d.log, Clock: d.clock, ConnectTimeout: f.Sending.Connect.D(),
-		MaxFrame: f.Sending.MaxFrame})
+		MaxFrame: f.Sending.MaxFrame, NativeUser: f.Sending.NativeUser, NativePassword: f.Sending.NativePass})
 	observer := newObserver(d.log, d.registry, o.Tracer, cfg)
 	core, err := dispatch.NewCore(o.Seed, cfg.Settings, d.fleet, observer)
 	if err != nil {
@@ -104,6 +107,7 @@
 	d.desk = front.NewDesk(d.loop, d.clock, tables(cfg, 0))
 	d.front = flightsql.New(flightsql.Options{Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
 		SchemaMost: r.SchemaMost, PassHeaders: f.Sending.PassHeaders}, d.desk)
+	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame}, d.desk)
 	observer.watch(d.desk, d.fleet)
 	d.server = grpc.NewServer(append(d.front.ServerOptions(),
 		// Clients that vanished are noticed within this time, so that nothing runs on for them.
@@ -121,6 +125,13 @@
 			return nil, err
 		}
 	}
+	if f.Listen.Native != "" {
+		if d.natives, err = net.Listen("tcp", f.Listen.Native); err != nil {
+			d.listener.Close()
+			d.listener = nil
+			return nil, err
+		}
+	}
 	if d.socket, err = listenAdmin(f.Listen.Admin); err != nil {
 		d.listener.Close()
 		if d.metrics != nil {
@@ -147,6 +158,14 @@
 // Address is where Flight SQL is served.
 func (d *Dispatcher) Address() string { return d.listener.Addr().String() }
 
+// NativeAddress is where the ClickHouse native protocol is served; "" where it is not.
+func (d *Dispatcher) NativeAddress() string {
+	if d.natives == nil {
+		return ""
+	}
+	return d.natives.Addr().String()
+}
+
 // Fleet is the dispatcher's view of the query nodes.
 func (d *Dispatcher) Fleet() *fleet.Fleet { return d.fleet }
 
@@ -174,6 +193,18 @@
 		defer close(stop)
 		return d.loop.Run(ctx)
 	})
+	if d.natives != nil {
+		natives, end := context.WithCancel(ctx)
+		group.Go(func() error {
+			<-stop
+			end()
+			return nil
+		})
+		group.Go(func() error {
+			defer end()
+			return d.native.Serve(natives, d.natives)
+		})
+	}
 	group.Go(func() error {
 		err := d.server.Serve(d.listener)
 		if errors.Is(err, grpc.ErrServerStopped) {
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -32,7 +32,7 @@
 }
 
 const rigConfig = `{
-  "listen": {"flightsql": "127.0.0.1:0"},
+  "listen": {"flightsql": "127.0.0.1:0", "native": "127.0.0.1:0"},
   "classes": [
     {"name": "lookup", "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s"},
     {"name": "report", "worth": 10, "aim": "2s", "deadline": "15s", "threads": 4, "late_worth": 0.4}
@@ -63,7 +63,7 @@
 		}
 		t.Cleanup(n.Die)
 		r.nodes = append(r.nodes, n)
-		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q}`, n.Name, n.Address))
+		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q, "native": %q}`, n.Name, n.Address, n.Native))
 	}
 	more += fmt.Sprintf(`, "kinds": [{"name": "standin", "cores": %d, "memory_mb": 16384}]`, cores)
 	if !strings.Contains(more, `"users"`) {
--- /dev/null
+++ b/dispatcher/native_test.go
@@ -0,0 +1,140 @@
+package dispatcher_test
+
+import (
+	"context"
+	"database/sql"
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/ClickHouse/ch-go"
+	"github.com/ClickHouse/ch-go/proto"
+	clickhouse "github.com/ClickHouse/clickhouse-go/v2"
+
+	"embershunt/standin"
+)
+
+func (r *rig) native(t testing.TB, user string) *ch.Client {
+	t.Helper()
+	c, err := ch.Dial(t.Context(), ch.Options{Address: r.d.NativeAddress(), User: user, Compression: ch.CompressionDisabled})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return c
+}
+
+func selectNative(ctx context.Context, c *ch.Client, statement string) (rows int, err error) {
+	var node proto.ColStr
+	var row proto.ColInt64
+	err = c.Do(ctx, ch.Query{Body: statement, Result: proto.Results{{Name: "node", Data: &node}, {Name: "row", Data: &row}},
+		OnResult: func(context.Context, proto.Block) error { rows += row.Rows(); return nil }})
+	return rows, err
+}
+
+// Unmodified clients of the protocol go through the dispatcher to a node and back.
+func TestNativeClients(t *testing.T) {
+	r := newRig(t, 2, "")
+	c := r.native(t, "default")
+	defer c.Close()
+	for range 3 {
+		if n, err := selectNative(t.Context(), c, "SELECT * FROM policy /* rows=3000 */"); err != nil || n != 3000 {
+			t.Fatalf("ch-go: %d rows, %v", n, err)
+		}
+	}
+	if err := c.Ping(t.Context()); err != nil {
+		t.Error(err)
+	}
+	if err := c.Do(t.Context(), ch.Query{Body: "CREATE TABLE t (a UInt8) ENGINE = Memory"}); err != nil {
+		t.Error("DDL: ", err)
+	}
+	err := c.Do(t.Context(), ch.Query{Body: "SELECT /* fail=no_such_table */ 1", Result: proto.Results{}})
+	if e, ok := ch.AsException(err); !ok || e.Code != 62 || !strings.Contains(e.Message, "no_such_table") {
+		t.Errorf("the node's own word: %v", err)
+	}
+	db := clickhouse.OpenDB(&clickhouse.Options{Addr: []string{r.d.NativeAddress()}, Settings: clickhouse.Settings{"max_execution_time": 5}})
+	defer db.Close()
+	var node string
+	var row int64
+	if err := db.QueryRowContext(t.Context(), "SELECT node, row FROM policy /* rows=1 */").Scan(&node, &row); err != nil || !strings.HasPrefix(node, "node-") {
+		t.Errorf("database/sql: %q, %v", node, err)
+	}
+	if err := db.QueryRowContext(t.Context(), "SELECT 1 /* rows=0 */").Scan(&node, &row); !errors.Is(err, sql.ErrNoRows) {
+		t.Errorf("no rows: %v", err)
+	}
+	// Kept connections are used again: the nodes saw fewer than the queries.
+	if n, _ := selectNative(t.Context(), c, "SELECT 1 /* rows=1 */"); n != 1 {
+		t.Error("after all that")
+	}
+}
+
+func TestNativeFaults(t *testing.T) {
+	cases := []struct {
+		name     string
+		fault    standin.Faults
+		all      bool
+		deadline string
+		want     string
+	}{
+		{"one turns all away", standin.Faults{Full: true}, false, "4", ""},
+		{"one fails fast", standin.Faults{Fail: 1}, false, "4", ""},
+		{"all cut within a block", standin.Faults{CutRow: 100}, true, "4", "failed (ANSWER_BROKEN"},
+		{"all stall within the answer", standin.Faults{StallRow: 100}, true, "0.8", "failed (DEADLINE"},
+		{"all silent", standin.Faults{Hang: true}, true, "0.8", "failed (ATTEMPT_FAILED"},
+		{"all full", standin.Faults{Full: true}, true, "0.8", "refused (OVERLOADED"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 2, "")
+			r.nodes[0].Set(c.fault)
+			if c.all {
+				r.nodes[1].Set(c.fault)
+			}
+			for range 3 {
+				client := r.native(t, "u")
+				ctx, cancel := context.WithTimeout(t.Context(), 6*time.Second)
+				begin := time.Now()
+				var node proto.ColStr
+				var row proto.ColInt64
+				err := client.Do(ctx, ch.Query{Body: "SELECT * FROM policy /* rows=4000 */", Settings: []ch.Setting{{Key: "max_execution_time", Value: c.deadline}},
+					Result: proto.Results{{Name: "node", Data: &node}, {Name: "row", Data: &row}}, OnResult: func(context.Context, proto.Block) error { return nil }})
+				cancel()
+				client.Close()
+				if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want) && c.want != "") {
+					if c.want == "failed (ATTEMPT_FAILED" && err != nil && strings.Contains(err.Error(), "refused (OVERLOADED") {
+						continue // nobody else to ask, and it only reads: that may be said too
+					}
+					t.Fatalf("%v, want %q", err, c.want)
+				}
+				if c.deadline == "0.8" && time.Since(begin) > 900*time.Millisecond {
+					t.Errorf("answered after %v", time.Since(begin))
+				}
+			}
+		})
+	}
+}
+
+func TestNativeClientsThatGoAway(t *testing.T) {
+	r := newRig(t, 1, "")
+	c := r.native(t, "u")
+	defer c.Close()
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan error, 1)
+	go func() {
+		_, err := selectNative(ctx, c, "SELECT 1 /* work_ms=3000 */")
+		done <- err
+	}()
+	if err := r.nodes[0].Await(t.Context(), func(s []standin.Seen) bool { return len(s) == 1 }); err != nil {
+		t.Fatal(err)
+	}
+	cancel()
+	if err := r.nodes[0].Await(t.Context(), anyCancelled); err != nil {
+		t.Error(err)
+	}
+	<-done
+	next := r.native(t, "u")
+	defer next.Close()
+	if n, err := selectNative(t.Context(), next, "SELECT 1 /* rows=2 */"); err != nil || n != 2 {
+		t.Errorf("the next client: %d, %v", n, err)
+	}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -24,7 +24,9 @@
 	ProbeTimeout   time.Duration     // default 500 ms
 	MaxFrame       int               // most bytes of one message from a node; default 16 MiB
 	Dial           []grpc.DialOption // credentials; default: plain text
-	Headers        []string          // key and value in turn, sent with every call
+	NativeUser     string            // for the native protocol
+	NativePassword string
+	Headers        []string // key and value in turn, sent with every call
 }
 
 // Poster takes what the fleet has seen; *dispatch.Loop is one.
--- /dev/null
+++ b/fleet/flight.go
@@ -0,0 +1,390 @@
+package fleet
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"strconv"
+	"sync/atomic"
+
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
+	"google.golang.org/grpc/metadata"
+	"google.golang.org/grpc/stats"
+	"google.golang.org/grpc/status"
+
+	"embershunt/choice"
+	"embershunt/internal/flightwire"
+)
+
+// fate is what the transport knows of an attempt's calls. It tells "may have run" from "never sent".
+type fate struct {
+	written atomic.Bool // a request header went to the transport, at any call of the attempt
+	trailer atomic.Bool // the node ended the last call itself
+}
+
+type fateKey struct{}
+
+// fateHandler notes the fate of each call.
+type fateHandler struct{}
+
+func (fateHandler) TagRPC(ctx context.Context, _ *stats.RPCTagInfo) context.Context { return ctx }
+func (fateHandler) HandleRPC(ctx context.Context, s stats.RPCStats) {
+	f, ok := ctx.Value(fateKey{}).(*fate)
+	if !ok {
+		return
+	}
+	switch s.(type) {
+	case *stats.OutHeader:
+		f.written.Store(true)
+		f.trailer.Store(false)
+	case *stats.InTrailer:
+		f.trailer.Store(true)
+	}
+}
+func (fateHandler) TagConn(ctx context.Context, _ *stats.ConnTagInfo) context.Context { return ctx }
+func (fateHandler) HandleConn(context.Context, stats.ConnStats)                       {}
+
+// flightAttempt makes an attempt over Flight SQL.
+type flightAttempt struct {
+	*attempt
+	call   *flightwire.Call
+	fate   fate
+	conn   *grpc.ClientConn
+	handle []byte // of a prepared statement made on the node; nil: none
+}
+
+// Terms implements dispatch.Fleet.
+func (f *Fleet) Terms(id string, memoryMB float64, priority int) {
+	body := flightwire.AppendBytes(nil, 1, id)
+	body = flightwire.AppendVarint(body, 2, uint64(priority)+1)
+	body = flightwire.AppendVarint(body, 3, uint64(max(0, memoryMB)))
+	frame := flightwire.Action{Type: flightwire.ActionTerms, Body: body}.Encode()
+	f.mu.Lock()
+	var nodes []string
+	for _, t := range f.attempts[id] {
+		nodes = append(nodes, t.a.Node)
+	}
+	f.mu.Unlock()
+	for _, id := range nodes {
+		f.group.Go(func() error {
+			ctx, cancel := context.WithTimeout(f.ctx, f.opt.ProbeTimeout)
+			defer cancel()
+			n := f.use(id)
+			if n == nil {
+				return nil
+			}
+			defer f.release(n)
+			if conn, err := n.dial(&f.opt); err == nil && conn != nil { // advice: a loss costs little
+				drainCall(ctx, conn, flightwire.MethodDoAction, frame)
+			}
+			return nil
+		})
+	}
+}
+
+// ended implements carrier.
+func (t *flightAttempt) ended(err error) (code choice.Code, rejected bool) {
+	if !t.fate.written.Load() {
+		return choice.Refused, false
+	}
+	s, ok := status.FromError(err)
+	if !ok || !t.fate.trailer.Load() {
+		if ok && s.Code() == codes.Unavailable || errors.Is(err, io.ErrUnexpectedEOF) {
+			return choice.Reset, false
+		}
+		return choice.Failed, false
+	}
+	switch s.Code() { // the node's own word on the statement: another node would say the same
+	case codes.InvalidArgument, codes.NotFound, codes.AlreadyExists, codes.PermissionDenied,
+		codes.FailedPrecondition, codes.OutOfRange, codes.Unimplemented:
+		return choice.Failed, true
+	}
+	return choice.Failed, false
+}
+
+// try implements carrier.
+func (t *flightAttempt) try(ctx context.Context, n *node) (any, error) {
+	conn, err := n.ready(ctx, &t.f.opt)
+	if err != nil {
+		return nil, err
+	}
+	t.conn = conn
+	ctx = context.WithValue(ctx, fateKey{}, &t.fate)
+	ctx = metadata.NewOutgoingContext(ctx, t.headers())
+	command, params := t.call.Command, [][]byte(nil)
+	if t.call.Params != nil {
+		if command, params, err = t.bind(ctx); err != nil {
+			return nil, err
+		}
+	}
+	switch t.call.Kind {
+	case flightwire.Get:
+		return nil, t.get(ctx, command)
+	case flightwire.Update:
+		return t.put(ctx, command, params)
+	case flightwire.Prepare:
+		return t.prepare(ctx)
+	case flightwire.Schema:
+		return t.unary(ctx, flightwire.MethodGetSchema, flightwire.Descriptor(command))
+	}
+	return nil, fmt.Errorf("fleet: unknown kind of call %d", t.call.Kind)
+}
+
+// headers are the call headers of the attempt, the same at each of its calls.
+func (t *flightAttempt) headers() metadata.MD {
+	md := metadata.MD{flightwire.HeaderQuery: {t.a.Query.ID}, flightwire.HeaderAttempt: {strconv.Itoa(t.a.N)}}
+	if t.a.HasTerms {
+		md[flightwire.HeaderPriority] = []string{strconv.Itoa(t.a.Priority)}
+		if t.a.MemoryMB > 0 {
+			md[flightwire.HeaderMemory] = []string{strconv.FormatFloat(t.a.MemoryMB, 'f', 0, 64)}
+		}
+	}
+	for _, pairs := range [][]string{t.f.opt.Headers, t.call.Headers} {
+		for i := 0; i+1 < len(pairs); i += 2 {
+			md.Append(pairs[i], pairs[i+1])
+		}
+	}
+	return md
+}
+
+// unary makes one call with one answer.
+func (t *flightAttempt) unary(ctx context.Context, method string, request []byte) ([]byte, error) {
+	var answer flightwire.Frame
+	var trailer metadata.MD
+	err := t.conn.Invoke(ctx, method, flightwire.NewFrame(request), &answer, grpc.Trailer(&trailer))
+	t.read(trailer)
+	if err != nil {
+		return nil, err
+	}
+	defer answer.Free()
+	return append([]byte(nil), answer.Bytes()...), nil
+}
+
+// read takes what a call's trailers tell.
+func (t *flightAttempt) read(trailer metadata.MD) {
+	if l := loadFrom(trailer); l != nil {
+		t.load = l
+	}
+	if v := trailer.Get(flightwire.HeaderRan); len(v) == 1 && v[0] == "no" {
+		t.notRun = true
+	}
+}
+
+var bidi = &grpc.StreamDesc{ServerStreams: true, ClientStreams: true}
+
+// stream opens a call and sends its requests.
+func (t *flightAttempt) stream(ctx context.Context, method string, requests ...[]byte) (grpc.ClientStream, error) {
+	s, err := t.conn.NewStream(ctx, bidi, method)
+	if err != nil {
+		return nil, err
+	}
+	for _, r := range requests {
+		if err := s.SendMsg(flightwire.NewFrame(r)); err != nil {
+			return nil, t.end(s, err)
+		}
+	}
+	if err := s.CloseSend(); err != nil {
+		return nil, t.end(s, err)
+	}
+	return s, nil
+}
+
+// end reads a failed stream's own status: a send that fails with io.EOF has it in store.
+func (t *flightAttempt) end(s grpc.ClientStream, err error) error {
+	if errors.Is(err, io.EOF) {
+		var f flightwire.Frame
+		if err = s.RecvMsg(&f); err == nil {
+			f.Free()
+			err = io.ErrUnexpectedEOF
+		}
+	}
+	t.read(s.Trailer())
+	return err
+}
+
+// get runs a query: GetFlightInfo, then DoGet at the same node.
+func (t *flightAttempt) get(ctx context.Context, command []byte) error {
+	info, err := t.unary(ctx, flightwire.MethodGetInfo, flightwire.Descriptor(command))
+	if err != nil {
+		return err
+	}
+	ticket, places, err := flightwire.FirstTicket(info)
+	if err != nil {
+		return err
+	}
+	if places != 1 {
+		return errPlaces
+	}
+	s, err := t.stream(ctx, flightwire.MethodDoGet, flightwire.AppendBytes(nil, 1, ticket))
+	if err != nil {
+		return err
+	}
+	return t.pump(ctx, s)
+}
+
+// pump passes an answer on. The first frame is kept back until the next one or the end is there: a schema alone
+// commits to nothing, and while the client has seen nothing another node may still answer.
+func (t *flightAttempt) pump(ctx context.Context, s grpc.ClientStream) error {
+	var first, next flightwire.Frame
+	defer first.Free()
+	defer func() { next.Free() }()
+	if err := t.recv(s, &first); err != nil {
+		if err == io.EOF {
+			err = errNoSchema
+		}
+		return err
+	}
+	err := t.recv(s, &next)
+	if err != nil && err != io.EOF {
+		return err
+	}
+	if err := t.mayFlow(ctx); err != nil {
+		return err
+	}
+	if sinkErr := t.call.Sink.Frame(&first); sinkErr != nil {
+		return sinkErr
+	}
+	for err == nil {
+		if sinkErr := t.call.Sink.Frame(&next); sinkErr != nil {
+			return sinkErr
+		}
+		next.Free()
+		err = t.recv(s, &next)
+	}
+	if err == io.EOF {
+		return nil
+	}
+	return err
+}
+
+// recv takes one frame and checks its envelope.
+func (t *flightAttempt) recv(s grpc.ClientStream, f *flightwire.Frame) error {
+	err := s.RecvMsg(f)
+	if err != nil {
+		t.read(s.Trailer())
+		return err
+	}
+	_, err = f.Envelope()
+	return err
+}
+
+// put runs an update: DoPut with the command in the first message.
+func (t *flightAttempt) put(ctx context.Context, command []byte, params [][]byte) ([]byte, error) {
+	s, err := t.stream(ctx, flightwire.MethodDoPut, described(command, params)...)
+	if err != nil {
+		return nil, err
+	}
+	return t.one(s)
+}
+
+// one takes exactly one answer and the clean end behind it.
+func (t *flightAttempt) one(s grpc.ClientStream) ([]byte, error) {
+	var answer []byte
+	for i := 0; ; i++ {
+		var f flightwire.Frame
+		err := s.RecvMsg(&f)
+		if err != nil {
+			t.read(s.Trailer())
+			if err == io.EOF && i > 0 {
+				return answer, nil
+			}
+			if err == io.EOF {
+				err = errNoSchema
+			}
+			return nil, err
+		}
+		if i == 0 {
+			answer = append([]byte(nil), f.Bytes()...)
+		}
+		f.Free()
+	}
+}
+
+// described puts a command's descriptor in front of FlightData messages.
+func described(command []byte, data [][]byte) [][]byte {
+	head := flightwire.AppendBytes(nil, 1, flightwire.Descriptor(command))
+	if len(data) == 0 {
+		return [][]byte{head}
+	}
+	out := append([][]byte(nil), data...)
+	out[0] = append(head, data[0]...)
+	return out
+}
+
+// prepare makes a prepared statement on the node for what the node says of it: the body of its
+// ActionCreatePreparedStatementResult. The node's own handle lives as long as the attempt.
+func (t *flightAttempt) prepare(ctx context.Context) ([]byte, error) {
+	create := flightwire.Action{Type: "CreatePreparedStatement",
+		Body: flightwire.StatementCommand("ActionCreatePreparedStatementRequest", t.call.Text)}
+	s, err := t.stream(ctx, flightwire.MethodDoAction, create.Encode())
+	if err != nil {
+		return nil, err
+	}
+	answer, err := t.one(s)
+	if err != nil {
+		return nil, err
+	}
+	body, err := flightwire.Field(answer, 1)
+	if err != nil {
+		return nil, fmt.Errorf("prepared statement of the node: %w", err)
+	}
+	c, err := flightwire.ParseCommand(body)
+	if err != nil {
+		return nil, fmt.Errorf("prepared statement of the node: %w", err)
+	}
+	t.handle, err = flightwire.Field(c.Body, 1)
+	return c.Body, err
+}
+
+// bind makes a prepared statement on the node and binds the parameters there; it returns the command that runs it.
+func (t *flightAttempt) bind(ctx context.Context) (command []byte, params [][]byte, err error) {
+	if _, err = t.prepare(ctx); err != nil {
+		return nil, nil, err
+	}
+	if t.call.Kind == flightwire.Update {
+		return flightwire.StatementCommand("CommandPreparedStatementUpdate", t.handle), t.call.Params, nil
+	}
+	command = flightwire.StatementCommand("CommandPreparedStatementQuery", t.handle)
+	s, err := t.stream(ctx, flightwire.MethodDoPut, described(command, t.call.Params)...)
+	if err != nil {
+		return nil, nil, err
+	}
+	answer, err := t.one(s)
+	if err != nil && !errors.Is(err, errNoSchema) { // an answer is optional here
+		return nil, nil, err
+	}
+	if moved, err := flightwire.Field(answer, 1); err == nil && len(moved) > 0 {
+		if h, err := flightwire.Field(moved, 1); err == nil && len(h) > 0 {
+			command = flightwire.StatementCommand("CommandPreparedStatementQuery", h)
+		}
+	}
+	return command, nil, nil
+}
+
+// after implements carrier: it lets go of the prepared statement made on the node, if there is one.
+func (t *flightAttempt) after() {
+	if t.handle == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(t.f.ctx, t.f.opt.ProbeTimeout)
+	defer cancel()
+	drainCall(ctx, t.conn, flightwire.MethodDoAction, flightwire.Action{Type: "ClosePreparedStatement",
+		Body: flightwire.StatementCommand("ActionClosePreparedStatementRequest", t.handle)}.Encode())
+}
+
+// drainCall makes a call whose answer is of no interest.
+func drainCall(ctx context.Context, conn *grpc.ClientConn, method string, request []byte) {
+	s, err := conn.NewStream(ctx, bidi, method)
+	if err != nil || s.SendMsg(flightwire.NewFrame(request)) != nil || s.CloseSend() != nil {
+		return
+	}
+	for {
+		var f flightwire.Frame
+		if s.RecvMsg(&f) != nil {
+			return
+		}
+		f.Free()
+	}
+}
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -55,7 +55,7 @@
 // place books a node; f.mu is held.
 func (f *Fleet) place(row nodelist.Node) {
 	n := f.nodes[row.ID]
-	if n != nil && n.address == row.Address {
+	if n != nil && n.address == row.Address && n.native == row.Native {
 		n.gone = false
 		return
 	}
@@ -65,7 +65,7 @@
 			n.close()
 		}
 	}
-	f.nodes[row.ID] = &node{id: row.ID, address: row.Address}
+	f.nodes[row.ID] = &node{id: row.ID, address: row.Address, native: row.Native}
 }
 
 // clockTime turns a wall time into the dispatcher's clock; 0 where it is unknown or lies before the clock's begin.
--- /dev/null
+++ b/fleet/native.go
@@ -0,0 +1,274 @@
+package fleet
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"strconv"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/internal/native"
+)
+
+// nativeConn is one connection to a node's native port. It carries one query at a time.
+type nativeConn struct {
+	conn     net.Conn
+	r        *native.Reader
+	w        *bufio.Writer
+	key      nativeKey
+	idleFrom time.Time
+}
+
+// nativeKey tells the connections apart that serve a query: a client's revision and database.
+type nativeKey struct {
+	revision int
+	database string
+}
+
+// Bounds of the idle connections kept to one node.
+const (
+	idleMost = 64
+	idleLife = 30 * time.Second
+)
+
+// nativeIdle takes a kept connection that is still up; nil if there is none. One on which anything has come meanwhile, or
+// which the node has closed, is not used.
+func (n *node) nativeIdle(key nativeKey) *nativeConn {
+	for {
+		n.mu.Lock()
+		var c *nativeConn
+		for i := len(n.idle) - 1; i >= 0 && c == nil; i-- { // the latest first: the others may grow old
+			if n.idle[i].key == key {
+				c = n.idle[i]
+				n.idle = append(n.idle[:i], n.idle[i+1:]...)
+			}
+		}
+		n.mu.Unlock()
+		if c == nil || time.Since(c.idleFrom) < idleLife && c.quiet() {
+			return c
+		}
+		c.conn.Close()
+	}
+}
+
+// quiet tells that a connection is up and nothing has come on it.
+func (c *nativeConn) quiet() bool {
+	c.conn.SetReadDeadline(time.Now().Add(-time.Second))
+	var b [1]byte
+	_, err := c.conn.Read(b[:])
+	c.conn.SetReadDeadline(time.Time{})
+	return errors.Is(err, os.ErrDeadlineExceeded)
+}
+
+// keep puts a connection back on which nothing was left unfinished.
+func (n *node) keep(c *nativeConn) {
+	c.idleFrom = time.Now()
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	if n.closed || len(n.idle) >= idleMost {
+		c.conn.Close()
+		return
+	}
+	n.idle = append(n.idle, c)
+}
+
+// nativeReady returns a connection that has shaken hands. What fails here was never sent.
+func (n *node) nativeReady(ctx context.Context, o *Options, key nativeKey) (*nativeConn, error) {
+	if n.native == "" {
+		return nil, errOtherWork
+	}
+	if c := n.nativeIdle(key); c != nil {
+		return c, nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, o.ConnectTimeout)
+	defer cancel()
+	conn, err := dialTCP(ctx, n.native)
+	if err != nil {
+		return nil, errNotConnected
+	}
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	c := &nativeConn{conn: conn, r: native.NewReader(conn, o.MaxFrame), w: bufio.NewWriter(conn), key: key}
+	err = c.shake(o)
+	if !stop() || err != nil {
+		conn.Close()
+		return nil, errNotConnected
+	}
+	return c, nil
+}
+
+func (c *nativeConn) shake(o *Options) error {
+	c.w.Write(native.Hello{Name: "embershunt", Major: 1, Revision: c.key.revision, Database: c.key.database,
+		User: o.NativeUser, Password: o.NativePassword}.Encode())
+	if err := c.w.Flush(); err != nil {
+		return err
+	}
+	s, err := c.r.ReadServerHello()
+	if err != nil {
+		return err
+	}
+	if s.Revision < c.key.revision { // packets would have another form than the client's
+		return errors.New("the node speaks an older revision")
+	}
+	if c.key.revision >= native.AddendumFrom {
+		c.w.Write(native.PutText(nil, "")) // quota key
+	}
+	return c.w.Flush()
+}
+
+// nativeAttempt makes an attempt over the ClickHouse native protocol.
+type nativeAttempt struct {
+	*attempt
+	call    *native.Call
+	written bool
+}
+
+// try implements carrier.
+func (t *nativeAttempt) try(ctx context.Context, n *node) (any, error) {
+	c, err := n.nativeReady(ctx, &t.f.opt, nativeKey{t.call.Revision, t.call.Database})
+	if err != nil {
+		return nil, err
+	}
+	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
+	clean, err := t.speak(ctx, c)
+	if stop() && clean {
+		n.keep(c)
+	} else {
+		t.giveUp(c)
+	}
+	return nil, err
+}
+
+// giveUp tells the node that nobody waits any more, as far as that can be done at once, and closes the connection: what is
+// left on it would be taken for the next answer.
+func (t *nativeAttempt) giveUp(c *nativeConn) {
+	c.conn.SetDeadline(time.Now().Add(20 * time.Millisecond))
+	c.conn.Write(native.PutUvarint(nil, native.ClientCancel))
+	c.conn.Close()
+}
+
+// query is what goes to the node: the client's, with the module's terms as settings.
+func (t *nativeAttempt) query() native.Query {
+	q := t.call.Query
+	q.ID = t.a.Query.ID + "-" + strconv.Itoa(t.a.N)
+	q.Settings = append([]native.Setting(nil), q.Settings...)
+	set := func(name, value string) {
+		for i := range q.Settings {
+			if q.Settings[i].Name == name {
+				q.Settings[i].Value = value
+				return
+			}
+		}
+		q.Settings = append(q.Settings, native.Setting{Name: name, Value: value})
+	}
+	if t.a.HasTerms {
+		// 1 is the most urgent there, 0 means none; the module's 3 is its most urgent.
+		set("priority", strconv.Itoa(4-t.a.Priority))
+		if t.a.MemoryMB > 0 {
+			set("max_memory_usage", strconv.FormatInt(int64(t.a.MemoryMB*1e6), 10))
+		}
+	}
+	return q
+}
+
+// heldMost bounds the packets kept back until the first rows, in bytes.
+const heldMost = 256 << 10
+
+// speak sends the query and passes its answer on; clean tells that the connection may serve another one. Head and progress
+// are kept back until the first rows or the end are there: while the client has seen nothing, another node may answer.
+func (t *nativeAttempt) speak(ctx context.Context, c *nativeConn) (clean bool, err error) {
+	t.written = true // from the first byte on
+	c.w.Write(t.query().Encode(t.call.Revision))
+	c.w.Write(native.EndOfData())
+	if err := c.w.Flush(); err != nil {
+		return false, err
+	}
+	var held []native.Packet
+	kept, flows := 0, false
+	flow := func() error {
+		if flows {
+			return nil
+		}
+		flows = true
+		if err := t.mayFlow(ctx); err != nil {
+			return err
+		}
+		for _, p := range held {
+			if err := t.call.Sink.Packet(p); err != nil {
+				return err
+			}
+		}
+		held = nil
+		return nil
+	}
+	for {
+		p, err := c.r.ReadServer(t.call.Revision)
+		if err != nil {
+			return false, err
+		}
+		switch p.Code {
+		case native.ServerLog, native.ServerProfileEvents, native.ServerPong, native.ServerTableColumns:
+			continue // the node's own affairs
+		case native.ServerException:
+			return true, p.Exception
+		case native.ServerEndOfStream:
+			return true, flow()
+		case native.ServerData:
+			if p.Block.Rows > 0 {
+				if err := flow(); err != nil {
+					return false, err
+				}
+			}
+		}
+		if !flows {
+			if kept += len(p.Raw); kept > heldMost {
+				if err := flow(); err != nil {
+					return false, err
+				}
+			} else {
+				p.Raw = append([]byte(nil), p.Raw...)
+				held = append(held, p)
+				continue
+			}
+		}
+		if err := t.call.Sink.Packet(p); err != nil {
+			return false, err
+		}
+	}
+}
+
+// after implements carrier.
+func (t *nativeAttempt) after() {}
+
+// Exceptions that are no word on the statement (ErrorCodes.cpp of ClickHouse): another node may fare better.
+var nodeTroubles = map[int32]bool{159: true, 173: true, 198: true, 203: true, 209: true, 210: true, 236: true, 241: true,
+	243: true, 279: true, 285: true, 394: true, 425: true, 439: true, 473: true, 999: true, 1000: true, 1001: true, 1002: true}
+
+// tooManyQueries is the exception that proves that nothing ran (TOO_MANY_SIMULTANEOUS_QUERIES).
+const tooManyQueries = 202
+
+// ended implements carrier.
+func (t *nativeAttempt) ended(err error) (code choice.Code, rejected bool) {
+	var e *native.Exception
+	var form *native.FormatError
+	switch {
+	case !t.written:
+		return choice.Refused, false
+	case errors.As(err, &e) && e.Code == tooManyQueries:
+		return choice.Full, false
+	case errors.As(err, &e):
+		return choice.Failed, !nodeTroubles[e.Code]
+	case errors.As(err, &form):
+		return choice.Failed, false
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
+		return choice.Reset, false
+	}
+	var op *net.OpError
+	if errors.As(err, &op) {
+		return choice.Reset, false
+	}
+	return choice.Failed, false
+}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -16,11 +16,13 @@
 // node is one query node and its kept connection.
 type node struct {
 	id, address string
+	native      string
 	users       int  // calls that hold it; under Fleet.mu
 	gone        bool // left the list, or moved to another address; under Fleet.mu
 
 	mu     sync.Mutex
 	conn   *grpc.ClientConn
+	idle   []*nativeConn
 	closed bool
 }
 
@@ -54,6 +56,9 @@
 
 // ready waits until the connection is up, at most for the connect time-out. What fails here was never sent.
 func (n *node) ready(ctx context.Context, o *Options) (*grpc.ClientConn, error) {
+	if n.address == "" {
+		return nil, errOtherWork
+	}
 	conn, err := n.dial(o)
 	if err != nil || conn == nil {
 		return nil, errNotConnected
@@ -93,6 +98,10 @@
 	n.mu.Lock()
 	defer n.mu.Unlock()
 	n.closed = true
+	for _, c := range n.idle {
+		c.conn.Close()
+	}
+	n.idle = nil
 	if n.conn != nil {
 		n.conn.Close()
 	}
--- a/internal/native/reader.go
+++ b/internal/native/reader.go
@@ -30,6 +30,9 @@
 	revProgressTime = 54460
 )
 
+// AddendumFrom is the revision from which a client sends a quota key behind the server's Hello.
+const AddendumFrom = revAddendum
+
 // Packets of the client.
 const (
 	ClientHello  = 0
--- a/nodelist/eds.go
+++ b/nodelist/eds.go
@@ -48,6 +48,7 @@
 	if v := fields["name"].GetStringValue(); v != "" {
 		n.ID = v
 	}
+	n.Native = fields["native"].GetStringValue()
 	var err error
 	if n.Kind, err = names.Kind(fields["kind"].GetStringValue()); err != nil {
 		return n, fmt.Errorf("node %q: %w", n.ID, err)
--- a/nodelist/nodelist.go
+++ b/nodelist/nodelist.go
@@ -13,7 +13,8 @@
 // Node is one row.
 type Node struct {
 	ID      string // its name; stable over restarts
-	Address string // host:port
+	Address string // host:port of Flight SQL; empty where it is not spoken
+	Native  string // host:port of the ClickHouse native protocol; likewise
 	Hall    int
 	Kind    int
 	Cell    int
@@ -51,7 +52,7 @@
 			return fmt.Errorf("a node at %q has no name", n.Address)
 		case ids[n.ID]:
 			return fmt.Errorf("node %q is listed twice", n.ID)
-		case n.Address == "" && n.State != choice.Gone:
+		case n.Address == "" && n.Native == "" && n.State != choice.Gone:
 			return fmt.Errorf("node %q has no address", n.ID)
 		case n.Address != "" && addresses[n.Address] != "":
 			return fmt.Errorf("nodes %q and %q have the same address %s", addresses[n.Address], n.ID, n.Address)
--- a/standin/node.go
+++ b/standin/node.go
@@ -53,6 +53,7 @@
 type Node struct {
 	Name    string
 	Address string // set by Start
+	Native  string // set by Start: where the ClickHouse native protocol is served
 
 	model Model
 	mu    sync.Mutex
@@ -68,6 +69,7 @@
 	machine  *machine
 	server   *grpc.Server
 	listener *freezer
+	native   *freezer
 	started  time.Time
 	stop     context.CancelFunc
 	done     sync.WaitGroup
@@ -88,8 +90,18 @@
 		return err
 	}
 	n.Address = l.Addr().String()
+	native := n.Native
+	if native == "" {
+		native = "127.0.0.1:0"
+	}
+	second, err := net.Listen("tcp", native)
+	if err != nil {
+		l.Close()
+		return err
+	}
+	n.Native = second.Addr().String()
 	ctx, stop := context.WithCancel(context.Background())
-	v := &life{machine: newMachine(n.model, cold), listener: newFreezer(l), started: time.Now(), stop: stop}
+	v := &life{machine: newMachine(n.model, cold), listener: newFreezer(l), native: newFreezer(second), started: time.Now(), stop: stop}
 	v.server = grpc.NewServer(grpc.MaxRecvMsgSize(16<<20), grpc.MaxSendMsgSize(64<<20),
 		grpc.ChainUnaryInterceptor(func(ctx context.Context, req any, _ *grpc.UnaryServerInfo, h grpc.UnaryHandler) (any, error) {
 			answer, err := h(ctx, req)
@@ -113,7 +125,11 @@
 		defer v.done.Done()
 		v.server.Serve(v.listener)
 	}()
-	v.done.Add(1)
+	v.done.Add(2)
+	go func() {
+		defer v.done.Done()
+		n.serveNative(ctx, v)
+	}()
 	go func() {
 		defer v.done.Done()
 		n.pauses(ctx, v)
@@ -153,6 +169,8 @@
 	}
 	v.stop()
 	v.listener.die()
+	v.native.die()
+	v.native.Close()
 	v.server.Stop()
 	v.done.Wait()
 }
@@ -163,6 +181,7 @@
 	defer n.mu.Unlock()
 	if n.life != nil {
 		n.life.listener.freeze()
+		n.life.native.freeze()
 	}
 }
 
