--- a/choice/api.go
+++ b/choice/api.go
@@ -130,6 +130,7 @@
 	State            EngineState
 	Weight           float64
 	Started          Micros // last start; 0: long ago
+	Speaks           uint8  // protocols, a bit each; see Request.Protocol
 }
 
 // EngineState is what the list knows of an engine.
@@ -152,7 +153,8 @@
 	Tables   int64   // group of tables it reads or writes
 	Key      int64   // for classes in turn
 	HasKey   bool
-	Retry    bool // a client's repeat, where clients mark them
+	Retry    bool  // a client's repeat, where clients mark them
+	Protocol uint8 // bit of the protocol that an engine must speak; 0: any will do
 	Due      Micros
 }
 
--- a/choice/change_test.go
+++ b/choice/change_test.go
@@ -98,3 +98,30 @@
 		t.Error("something changed")
 	}
 }
+
+// A request stays within its protocol at every attempt, also when no engine that speaks it is left.
+func TestProtocolIsKept(t *testing.T) {
+	g, err := New(1, changeSettings(Class{Name: "plain", Worth: 1, Aim: 1e6, Deadline: 4e6}))
+	if err != nil {
+		t.Fatal(err)
+	}
+	now := Micros(1e9)
+	g.Step(now, []Event{Engines{Whole: true, Rows: []Engine{{ID: "both", Speaks: 3}, {ID: "one", Speaks: 1}, {ID: "old"}}}})
+	for i := range 50 {
+		id := string(rune('a' + i))
+		now += 1e5
+		for _, a := range g.Step(now, []Event{Request{ID: id, Cost: 1e4, Protocol: 2, Due: now + 4e6}}) {
+			if s, ok := a.(Send); ok {
+				if s.Engine != "both" {
+					t.Fatalf("sent to %s", s.Engine)
+				}
+				g.Step(now, []Event{Outcome{ID: id, Engine: s.Engine, Code: OK, Over: true, Took: 1e4}})
+			}
+		}
+	}
+	for _, a := range g.Step(now, []Event{Engines{Rows: []Engine{{ID: "both", Speaks: 3, State: Draining}}}, Request{ID: "z", Protocol: 2, Due: now + 4e6}}) {
+		if s, ok := a.(Send); ok {
+			t.Errorf("sent to %s, which does not speak it", s.Engine)
+		}
+	}
+}
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -21,6 +21,7 @@
 	Key      int64 // order, where HasKey
 	HasKey   bool
 	Retry    bool   // a client's marked repeat
+	Protocol uint8  // bit of nodelist.Speaks that a node must have
 	Due      Micros // the final answer is owed by then
 	Work     any    // what a node is to do; known to the front and the fleet alone
 	Client   Client
--- a/dispatcher/native_test.go
+++ b/dispatcher/native_test.go
@@ -138,3 +138,47 @@
 		t.Errorf("the next client: %d, %v", n, err)
 	}
 }
+
+// One fleet, two protocols: each query goes to the nodes that speak its own.
+func TestAQueryStaysWithinItsProtocol(t *testing.T) {
+	r := newRigWith(t, 3, func(rows string) string {
+		parts := strings.Split(rows, "},")
+		parts[0] = strings.Replace(parts[0], `"native"`, `"state": "", "started"`, 1)
+		parts[0] = parts[0][:strings.Index(parts[0], `, "state"`)] // speaks Flight SQL alone
+		parts[1] = strings.Replace(parts[1], `"address"`, `"address": "", "hall": "", "x"`, 1)
+		at, to := strings.Index(parts[1], `, "x"`), strings.Index(parts[1], `, "native"`)
+		parts[1] = parts[1][:at] + parts[1][to:] // speaks the native protocol alone
+		return `{"list": [` + strings.Join(parts, "},") + `]}`
+	}, "")
+	c := r.native(t, "u")
+	defer c.Close()
+	for range 20 {
+		if _, err := selectNative(t.Context(), c, "SELECT 1 /* rows=1 */ -- native"); err != nil {
+			t.Fatal(err)
+		}
+		if _, err := r.query(t.Context(), "SELECT 1 -- flight"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	families, err := r.d.Registry().Gather()
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := 0.0
+	for _, f := range families {
+		if f.GetName() != "embershunt_attempts_ended_total" {
+			continue
+		}
+		for _, m := range f.GetMetric() {
+			ended += m.GetCounter().GetValue()
+			for _, l := range m.GetLabel() {
+				if l.GetName() == "code" && l.GetValue() != "ok" {
+					t.Errorf("%v attempts ended as %s", m.GetCounter().GetValue(), l.GetValue())
+				}
+			}
+		}
+	}
+	if ended != 40 {
+		t.Errorf("%v attempts, want 40", ended)
+	}
+}
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -22,7 +22,7 @@
 	for _, n := range nodes {
 		listed[n.ID] = true
 		event.Rows = append(event.Rows, choice.Engine{ID: n.ID, Zone: n.Hall, Kind: n.Kind, Cell: n.Cell,
-			State: n.State, Weight: n.Weight, Started: f.clockTime(n.Started)})
+			State: n.State, Weight: n.Weight, Started: f.clockTime(n.Started), Speaks: n.Speaks()})
 		f.place(n)
 		f.drains.notice(n.ID, n.State != choice.Healthy)
 	}
--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -20,6 +20,7 @@
 	"embershunt/dispatch"
 	"embershunt/front"
 	"embershunt/internal/native"
+	"embershunt/nodelist"
 )
 
 // Options are the front's settings; zero values mean the defaults.
@@ -267,7 +268,7 @@
 		s.refuse(48, "INSERT with data from the client is not served yet")
 		return nil
 	}
-	call := front.Call{Work: &native.Call{Query: q, Revision: s.revision, Database: s.hello.Database, Sink: s}}
+	call := front.Call{Speaks: nodelist.ClickHouse, Work: &native.Call{Query: q, Revision: s.revision, Database: s.hello.Database, Sink: s}}
 	settings := map[string]string{}
 	for _, set := range q.Settings {
 		settings[set.Name] = set.Value
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -21,6 +21,7 @@
 	"embershunt/front"
 	"embershunt/internal/flightwire"
 	"embershunt/internal/seal"
+	"embershunt/nodelist"
 )
 
 // Options are the front's settings; zero values mean the defaults.
@@ -156,7 +157,7 @@
 			len(w.statement), most)
 	}
 	f.read(c)
-	call := front.Call{Work: w.call, Facts: classify.Facts{User: c.user, Header: c.header, Option: c.option,
+	call := front.Call{Speaks: nodelist.FlightSQL, Work: w.call, Facts: classify.Facts{User: c.user, Header: c.header, Option: c.option,
 		Statement: w.statement, Command: w.command}}
 	if d, ok := c.ctx.Deadline(); ok {
 		call.Left = max(time.Until(d), 1)
--- a/front/front.go
+++ b/front/front.go
@@ -65,11 +65,12 @@
 
 // Call is one query as a front makes it.
 type Call struct {
-	Facts classify.Facts
-	Left  time.Duration // until its deadline; 0: the class's
-	Work  any           // for the fleet
-	MB    float64       // memory hint of the protocol, where rules and hints give none
-	Taken func(id string)
+	Facts  classify.Facts
+	Speaks uint8         // protocol, as a bit of nodelist.Speaks
+	Left   time.Duration // until its deadline; 0: the class's
+	Work   any           // for the fleet
+	MB     float64       // memory hint of the protocol, where rules and hints give none
+	Taken  func(id string)
 }
 
 // asked is one query that waits for its final answer.
@@ -100,7 +101,7 @@
 	a := &asked{done: make(chan dispatch.Verdict, 1)}
 	q := &dispatch.Query{ID: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1)), Version: tables.Version, Class: traits.Class,
 		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
-		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Due: now + left.Microseconds(), Work: c.Work, Client: a}
+		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Protocol: c.Speaks, Due: now + left.Microseconds(), Work: c.Work, Client: a}
 	if c.Taken != nil {
 		c.Taken(q.ID)
 	}
--- a/nodelist/nodelist.go
+++ b/nodelist/nodelist.go
@@ -23,6 +23,23 @@
 	Started time.Time // last start; zero: long ago
 }
 
+// Bits of the protocols that a node may speak.
+const (
+	FlightSQL uint8 = 1 << iota
+	ClickHouse
+)
+
+// Speaks are the protocols that a node has an address for.
+func (n Node) Speaks() (bits uint8) {
+	if n.Address != "" {
+		bits |= FlightSQL
+	}
+	if n.Native != "" {
+		bits |= ClickHouse
+	}
+	return bits
+}
+
 // Names turn the words of a node list into the indexes that the module knows.
 type Names struct{ Halls, Kinds []string }
 
