--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -364,7 +364,7 @@
 
 // codes of final answers (ErrorCodes.cpp of ClickHouse; docs/operators.md has the table).
 var codes = map[dispatch.Reason]int32{dispatch.ReasonOverload: 202, dispatch.ReasonFull: 202, dispatch.ReasonClassGone: 203,
-	dispatch.ReasonDraining: 203, dispatch.ReasonAttempt: 999, dispatch.ReasonBroken: 210, dispatch.ReasonDeadline: 159,
+	dispatch.ReasonDraining: 203, dispatch.ReasonAttempt: 1001, dispatch.ReasonBroken: 210, dispatch.ReasonDeadline: 159,
 	dispatch.ReasonInternal: 1002, dispatch.ReasonGone: 394, dispatch.ReasonStopped: 236}
 
 func exceptionOf(v dispatch.Verdict) *native.Exception {
