--- a/cmd/embercontrol/main.go
+++ b/cmd/embercontrol/main.go
@@ -51,7 +51,7 @@
 	control *standin.Control
 	rollout *control.Rollout
 	begin   time.Time
-	known   map[uint64]bool
+	known   map[uint64]control.FileParts
 	list    string
 	told    map[string]string // mistakes already printed, by file
 }
@@ -59,7 +59,7 @@
 func run() error {
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	s := &service{control: standin.NewControl(cli.Cluster), begin: time.Now(), known: map[uint64]bool{},
+	s := &service{control: standin.NewControl(cli.Cluster), begin: time.Now(), known: map[uint64]control.FileParts{},
 		told: map[string]string{}, rollout: control.NewRollout(0, cli.Stages, cli.Hold.Microseconds(), cli.Refusal)}
 	s.rollout.Fall = cli.Fall
 	s.control.Stage(s.rollout.Offer, func(d string, n uint64, refused string) { s.rollout.Replied(s.now(), d, n, refused) })
@@ -87,6 +87,7 @@
 		s.read()
 		s.scrape(ctx)
 		s.control.Locked(func() { s.rollout.Look(s.now()) })
+		s.back()
 		if t := s.table(); t != last {
 			fmt.Println(t)
 			last = t
@@ -143,8 +144,10 @@
 		base := strings.TrimSuffix(filepath.Base(f), ".jsonc")
 		if err == nil && base == "nodes" {
 			err = s.nodes(f, text)
-		} else if n, bad := strconv.ParseUint(base, 10, 64); err == nil && bad == nil && n > 0 && !s.known[n] {
-			if err = s.settings(f, n, text); err == nil {
+		} else if n, bad := strconv.ParseUint(base, 10, 64); err == nil && bad == nil && n > 0 && !s.has(n) {
+			if high := s.rollout.Highest(); n <= high {
+				err = fmt.Errorf("%s: number %d: allowed are those above %d, which is in use", f, n, high)
+			} else if err = s.settings(f, n, text); err == nil {
 				newest = max(newest, n)
 			}
 		}
@@ -158,11 +161,26 @@
 	}
 }
 
+func (s *service) has(n uint64) bool { _, ok := s.known[n]; return ok }
+
 func (s *service) settings(file string, n uint64, text []byte) error {
 	var parts control.FileParts
 	if err := config.Decode(file, text, &parts, nil); err != nil {
 		return err
 	}
+	return s.add(n, parts)
+}
+
+// back makes the content of the set before a halted one known under the number it is offered by.
+func (s *service) back() {
+	if n, of := s.rollout.Back(); n > 0 && of > 0 && !s.has(n) {
+		if err := s.add(n, s.known[of]); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+		}
+	}
+}
+
+func (s *service) add(n uint64, parts control.FileParts) error {
 	set := parts.Set(n)
 	var all []*anypb.Any
 	for _, m := range set.Parts() {
@@ -172,7 +190,7 @@
 		}
 		all = append(all, a)
 	}
-	s.known[n] = true
+	s.known[n] = parts
 	s.control.Locked(func() { s.control.AddSet(n, all) })
 	return nil
 }
--- a/control/control_test.go
+++ b/control/control_test.go
@@ -442,12 +442,19 @@
 	}
 	// A fall in service halts it too; the next version begins from the set before it.
 	r = begin()
+	took := offered(r)[0]
+	r.Replied(second, took, 2, "")
 	r.Halt("service fell to 0.7")
-	if len(offered(r)) != 0 {
-		t.Error("halted, and offered")
+	// Who took it does not go back in numbers: it gets the old content under a new one.
+	if number, of := r.Back(); number != 3 || of != 1 || r.Offer(took) != 3 || len(offered(r)) != 0 || r.Highest() != 3 {
+		t.Errorf("halted: back %d of %d, offered to who took it %d", number, of, r.Offer(took))
 	}
-	r.Begin(30*second, 3)
-	if r.old != 1 || len(offered(r)) != 0 {
+	r.Replied(2*second, took, 3, "")
+	if r.Offer(took) != 3 {
+		t.Errorf("back again it is offered %d", r.Offer(took))
+	}
+	r.Begin(30*second, 4)
+	if r.old != 1 {
 		t.Errorf("after the halt old is %d", r.old)
 	}
 }
--- a/control/rollout.go
+++ b/control/rollout.go
@@ -22,6 +22,7 @@
 	stage       int
 	since       Micros // when the stage was whole
 	halted      string
+	back        uint64 // number under which the old set's content is offered to those that took the new one; 0: none
 	seen        map[string]*Standing
 	service     map[string]*service
 }
@@ -54,7 +55,7 @@
 	if r.done() {
 		r.old = r.target
 	}
-	r.target, r.stage, r.since, r.halted = number, 0, 0, ""
+	r.target, r.stage, r.since, r.halted, r.back = number, 0, 0, "", 0
 	for _, s := range r.service {
 		s.base = [2]float64{s.served, s.asked}
 	}
@@ -103,12 +104,30 @@
 	if r.seen[dispatcher] == nil {
 		r.seen[dispatcher] = &Standing{Dispatcher: dispatcher}
 	}
-	if r.halted != "" || !r.in(dispatcher) {
+	switch {
+	case r.halted != "" && r.seen[dispatcher].Number >= r.target: // dispatchers do not go back in numbers
+		return r.back
+	case r.halted != "" || !r.in(dispatcher):
 		return r.old
 	}
 	return r.target
 }
 
+// Back tells that a halted rollout offers the content of an old set under a new number: both, or zeros.
+func (r *Rollout) Back() (number, of uint64) {
+	if r.back == 0 {
+		return 0, 0
+	}
+	return r.back, r.old
+}
+
+// Highest is the highest number in use: the next set must have one above it.
+func (r *Rollout) Highest() uint64 { return max(r.target, r.back) }
+
+func (r *Rollout) halt(why string) {
+	r.halted, r.back = why, r.target+1
+}
+
 // in tells that a dispatcher belongs to the present stage.
 func (r *Rollout) in(dispatcher string) bool {
 	h := xxhash.Sum64String(fmt.Sprintf("%d/%s", r.target, dispatcher))
@@ -149,7 +168,7 @@
 	}
 	switch {
 	case members > 0 && refused > 0 && float64(refused) >= r.Refusal*float64(members):
-		r.halted = fmt.Sprintf("%d of %d dispatchers refused set %d: %s", refused, members, r.target, why)
+		r.halt(fmt.Sprintf("%d of %d dispatchers refused set %d: %s", refused, members, r.target, why))
 		return true
 	case acked+refused < members:
 		r.since = 0
@@ -170,7 +189,7 @@
 // Halt stops a rollout from outside, such as for a fall in service.
 func (r *Rollout) Halt(why string) {
 	if r.halted == "" && r.target != r.old {
-		r.halted = why
+		r.halt(why)
 	}
 }
 
@@ -191,7 +210,8 @@
 func (r *Rollout) State() string {
 	switch {
 	case r.halted != "":
-		return fmt.Sprintf("halted, set %d goes to all: %s", r.old, r.halted)
+		return fmt.Sprintf("halted, set %d goes to all, as set %d to those that took set %d; the next one needs a number above: %s",
+			r.old, r.back, r.target, r.halted)
 	case r.done():
 		return fmt.Sprintf("set %d is with all", r.target)
 	}
