--- a/choice/choice.go
+++ b/choice/choice.go
@@ -395,7 +395,8 @@
 // allowed keeps placement, drains, the protocol and the groups of keyed requests.
 func (g *Gateway) allowed(q *request, e *engine) bool {
 	c := q.class
-	if e.State != Healthy || q.Protocol&^e.Speaks != 0 || c.Zones != nil && !slices.Contains(c.Zones, e.Zone) ||
+	if e.State != Healthy || q.Protocol&^e.Speaks != 0 ||
+		c.Zones != nil && !slices.Contains(c.Zones, e.Zone) ||
 		c.Kinds != nil && !slices.Contains(c.Kinds, e.Kind) {
 		return false
 	}
