--- a/day/judge.go
+++ b/day/judge.go
@@ -163,9 +163,11 @@
 			if p.Dispatcher != who || p.At.After(s.At) {
 				continue
 			}
-			if slices.Contains(p.Healthy, s.Node) {
+			switch stated := slices.Contains(p.Draining, s.Node); {
+			case p.Refused && !stated: // a list turned down tells of no end and no return, but a drain it states counts
+			case slices.Contains(p.Healthy, s.Node):
 				told = time.Time{}
-			} else if told.IsZero() {
+			case told.IsZero():
 				told = p.At
 			}
 		}
--- a/dispatcher/clients_test.go
+++ b/dispatcher/clients_test.go
@@ -367,6 +367,15 @@
 	if n := count(r.client.GetTableTypes(ctx)); n != 1 {
 		t.Errorf("GetTableTypes: %d rows", n)
 	}
+	if n := count(r.client.GetDBSchemas(ctx, &flightsql.GetDBSchemasOpts{})); n != 1 {
+		t.Errorf("GetDBSchemas: %d rows", n)
+	}
+	if n := count(r.client.GetTables(ctx, &flightsql.GetTablesOpts{})); n != 1 {
+		t.Errorf("GetTables: %d rows", n)
+	}
+	if n := count(r.client.GetXdbcTypeInfo(ctx, nil)); n != 1 {
+		t.Errorf("GetXdbcTypeInfo: %d rows", n)
+	}
 	s, err := r.client.GetExecuteSchema(ctx, "SELECT 1 /* row_bytes=9 */")
 	if err != nil {
 		t.Fatal(err)
--- a/standin/control.go
+++ b/standin/control.go
@@ -188,16 +188,11 @@
 	return out
 }
 
-// Pushed returns the node lists that were sent and not turned down.
-func (c *Control) Pushed() (out []Push) {
+// Pushed returns the node lists that were sent, those turned down among them.
+func (c *Control) Pushed() []Push {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	for _, p := range c.pushed {
-		if !p.Refused {
-			out = append(out, p)
-		}
-	}
-	return out
+	return append([]Push(nil), c.pushed...)
 }
 
 // Replies returns what dispatchers said, in order.
--- a/standin/flight.go
+++ b/standin/flight.go
@@ -11,6 +11,7 @@
 	"github.com/apache/arrow-go/v18/arrow/array"
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	arrowsql "github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql/schema_ref"
 	"github.com/apache/arrow-go/v18/arrow/memory"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/status"
@@ -272,6 +273,36 @@
 	return one(tableTypes, "TABLE")
 }
 
+// GetFlightInfoSchemas plans the list of schemas.
+func (s *flightServer) GetFlightInfoSchemas(_ context.Context, _ arrowsql.GetDBSchemas, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	return s.info(d, d.Cmd, nil), nil
+}
+
+// DoGetDBSchemas names one schema.
+func (s *flightServer) DoGetDBSchemas(context.Context, arrowsql.GetDBSchemas) (*arrow.Schema, <-chan flight.StreamChunk, error) {
+	return one(schema_ref.DBSchemas, "main")
+}
+
+// GetFlightInfoTables plans the list of tables.
+func (s *flightServer) GetFlightInfoTables(_ context.Context, _ arrowsql.GetTables, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	return s.info(d, d.Cmd, nil), nil
+}
+
+// DoGetTables names one table.
+func (s *flightServer) DoGetTables(context.Context, arrowsql.GetTables) (*arrow.Schema, <-chan flight.StreamChunk, error) {
+	return one(schema_ref.Tables, "policy")
+}
+
+// GetFlightInfoXdbcTypeInfo plans the list of types.
+func (s *flightServer) GetFlightInfoXdbcTypeInfo(_ context.Context, _ arrowsql.GetXdbcTypeInfo, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
+	return s.info(d, d.Cmd, nil), nil
+}
+
+// DoGetXdbcTypeInfo names one type, without its other columns.
+func (s *flightServer) DoGetXdbcTypeInfo(context.Context, arrowsql.GetXdbcTypeInfo) (*arrow.Schema, <-chan flight.StreamChunk, error) {
+	return one(arrow.NewSchema([]arrow.Field{{Name: "type_name", Type: arrow.BinaryTypes.String}}, nil), "BIGINT")
+}
+
 var (
 	catalogs   = arrow.NewSchema([]arrow.Field{{Name: "catalog_name", Type: arrow.BinaryTypes.String}}, nil)
 	tableTypes = arrow.NewSchema([]arrow.Field{{Name: "table_type", Type: arrow.BinaryTypes.String}}, nil)
