--- a/control/control.go
+++ b/control/control.go
@@ -132,6 +132,8 @@
 	List struct{ Nodes []nodelist.Node }
 	// ListRefused tells the decision module that a list could not be used.
 	ListRefused struct{ Reasons []string }
+	// Renew asks for a new stream: what was refused may be taken now, and a service offers a version but once a stream.
+	Renew struct{}
 	// Log is a line for the operators.
 	Log struct{ Text string }
 )
@@ -143,6 +145,7 @@
 func (Forget) isAction()      {}
 func (List) isAction()        {}
 func (ListRefused) isAction() {}
+func (Renew) isAction()       {}
 func (Log) isAction()         {}
 
 // offer is one response that has no reply yet.
@@ -246,10 +249,17 @@
 		m.pass[ev.Number] = true
 		m.log("override: set %d passes the checks for harm, by an operator's word", ev.Number)
 		m.judge()
+		if m.phase == Idle && ev.Number != m.force.Number {
+			m.do(Renew{})
+		}
 	case Pin:
+		freed := m.pinned && !ev.On
 		m.pinned = ev.On
 		m.log("pinned: %v, at set %d", ev.On, m.force.Number)
 		m.judge()
+		if freed && m.phase == Idle {
+			m.do(Renew{})
+		}
 	case RollBack:
 		m.rollBack(ev)
 	default:
@@ -275,10 +285,31 @@
 		m.refuse(ev.Kind, o, []string{"form: " + o.bad.Error()})
 		return
 	}
+	if m.phase == Idle && o.set == m.force.Number { // it may come alone: a response that was repeated, or of a new stream
+		m.waiting[ev.Kind] = nil
+		m.again(ev.Kind, o)
+		return
+	}
 	m.waiting[ev.Kind] = o
 	m.judge()
 }
 
+// again replies to a resource that has the number of the set in force.
+func (m *Module) again(k Kind, o *offer) {
+	if !proto.Equal(o.message, m.force.part(k)) {
+		m.refuse(k, o, []string{fmt.Sprintf("number: set %d is in force with another content: two services disagree, or a "+
+			"number was used twice", o.set)})
+		return
+	}
+	m.taken[k] = o.version
+	m.do(Ack{k, o.version, o.nonce})
+}
+
+// part is the set's resource of a kind; nil where it has none.
+func (s *Set) part(k Kind) proto.Message {
+	return [...]proto.Message{s.Classes, s.Tenants, s.Limits, s.Classification, s.Fronts}[k]
+}
+
 // setOf checks a resource's form and finds its set's number.
 func setOf(k Kind, message proto.Message) (uint64, error) {
 	var number uint64
@@ -324,12 +355,11 @@
 	}
 	set := m.gather(number)
 	switch {
-	case number == m.force.Number && same(set, m.force):
-		m.acknowledge()
-		return
-	case number == m.force.Number:
-		m.refuseAll([]string{fmt.Sprintf("number: set %d is in force with another content: two services disagree, or a "+
-			"number was used twice", number)})
+	case number == m.force.Number: // it came while another one moved
+		for k, o := range m.waiting {
+			m.waiting[k] = nil
+			m.again(Kind(k), o)
+		}
 		return
 	case number < m.force.Number && !m.pass[number]:
 		m.refuseAll([]string{fmt.Sprintf("number: set %d is older than %d, which is in force: going back takes a new "+
@@ -356,12 +386,6 @@
 		Fronts:         m.waiting[Fronts].message.(*configv1.Fronts)}
 }
 
-func same(a, b Set) bool {
-	return a.Number == b.Number && proto.Equal(a.Classes, b.Classes) && proto.Equal(a.Tenants, b.Tenants) &&
-		proto.Equal(a.Limits, b.Limits) && proto.Equal(a.Classification, b.Classification) &&
-		proto.Equal(a.Fronts, b.Fronts)
-}
-
 // move begins the way of a set: durable first, then in force, then acknowledged. A crash at any place leaves either the
 // old or the new set in the store, and the service offers again what was not acknowledged.
 func (m *Module) move(set Set, cfg *config.Config, back bool) {
@@ -426,16 +450,6 @@
 	m.judge()
 }
 
-// acknowledge takes all that waits: it is in force already.
-func (m *Module) acknowledge() {
-	for k, o := range m.waiting {
-		m.taken[k] = o.version
-		m.do(Ack{Kind(k), o.version, o.nonce})
-		m.waiting[k] = nil
-	}
-	m.last = nil
-}
-
 func (m *Module) refuseAll(reasons []string) {
 	for k, o := range m.waiting {
 		m.refuse(Kind(k), o, reasons)
--- a/control/stream/stream.go
+++ b/control/stream/stream.go
@@ -84,8 +84,12 @@
 	handler Handler
 	replies chan Reply
 	again   chan struct{}
+	renew   chan struct{}
 }
 
+// ErrRenewed is told to Lost where the stream was ended by Renew: the service is there.
+var ErrRenewed = errors.New("the stream is made anew")
+
 // New returns a stream that Run keeps up.
 func New(o Options, h Handler) *Stream {
 	if o.Least == 0 {
@@ -97,7 +101,7 @@
 	if o.Random == nil {
 		o.Random = rand.Float64
 	}
-	return &Stream{opt: o, handler: h, replies: make(chan Reply, 1000), again: make(chan struct{}, 1)}
+	return &Stream{opt: o, handler: h, replies: make(chan Reply, 1000), again: make(chan struct{}, 1), renew: make(chan struct{}, 1)}
 }
 
 // Reply sends a reply on the present stream. It does not block: one that comes after the stream's loss is dropped, and
@@ -117,6 +121,14 @@
 	}
 }
 
+// Renew ends the present stream and makes another one at once, on which the service offers all anew; it does not block.
+func (s *Stream) Renew() {
+	select {
+	case s.renew <- struct{}{}:
+	default:
+	}
+}
+
 // Run keeps the stream up until ctx ends.
 func (s *Stream) Run(ctx context.Context) error {
 	options := append([]grpc.DialOption{grpc.WithNoProxy(), grpc.WithIdleTimeout(0),
@@ -136,6 +148,9 @@
 			return nil
 		}
 		s.handler.Lost(err)
+		if errors.Is(err, ErrRenewed) {
+			continue
+		}
 		if good {
 			bound = s.opt.Least
 		}
@@ -199,6 +214,8 @@
 			select {
 			case <-ctx.Done():
 				return nil
+			case <-s.renew:
+				return ErrRenewed
 			case r := <-s.replies:
 				if err := w.reply(r.Kind, s.name(r.Kind), r); err != nil {
 					return err
@@ -246,16 +263,20 @@
 }
 
 func (s *Stream) nodes(resources []*anypb.Any) ([]nodelist.Node, error) {
-	for i, r := range resources {
-		var c endpointv3.ClusterLoadAssignment
-		if err := r.UnmarshalTo(&c); err != nil {
+	var found *endpointv3.ClusterLoadAssignment
+	for i, r := range resources { // one that cannot be read spoils the response, wherever it stands
+		c := &endpointv3.ClusterLoadAssignment{}
+		if err := r.UnmarshalTo(c); err != nil {
 			return nil, fmt.Errorf("nodes: resource %d: %w", i, err)
 		}
 		if c.GetClusterName() == s.opt.Cluster {
-			return nodelist.FromAssignment(&c, s.opt.Names)
+			found = c
 		}
 	}
-	return nil, fmt.Errorf("nodes: cluster %q is not in the response", s.opt.Cluster)
+	if found == nil {
+		return nil, fmt.Errorf("nodes: cluster %q is not in the response", s.opt.Cluster)
+	}
+	return nodelist.FromAssignment(found, s.opt.Names)
 }
 
 func refusal(r Reply) *rpcstatus.Status {
--- a/dispatcher/admin.go
+++ b/dispatcher/admin.go
@@ -52,7 +52,8 @@
 	return l, os.Chmod(path, 0o600)
 }
 
-func (d *Dispatcher) adminHandler() http.Handler {
+// AdminHandler answers what operators ask and order, as the admin socket does.
+func (d *Dispatcher) AdminHandler() http.Handler {
 	mux := http.NewServeMux()
 	handle := func(pattern string, run func(r *http.Request) (any, error)) {
 		mux.HandleFunc(pattern, func(w http.ResponseWriter, r *http.Request) {
--- a/dispatcher/controller.go
+++ b/dispatcher/controller.go
@@ -5,6 +5,7 @@
 	"errors"
 	"log/slog"
 	"strings"
+	"sync"
 	"sync/atomic"
 
 	"golang.org/x/sync/errgroup"
@@ -27,6 +28,8 @@
 	store  *store.Store // nil: versions do not outlive the process
 	events chan func(*control.Module) []control.Action
 	status atomic.Pointer[control.Status]
+	mu     sync.Mutex
+	news   chan struct{} // closed at each change of the status
 	group  *errgroup.Group
 	serial uint64 // of changes of the settings, for the loop
 }
@@ -34,7 +37,7 @@
 // newController reads the last good version out of the store, if there is one, and returns the configuration to start
 // with. A damaged version is passed over in favour of the one before it.
 func newController(cfg *config.Config, log *slog.Logger) (*controller, *config.Config, error) {
-	c := &controller{log: log, events: make(chan func(*control.Module) []control.Action, 256)}
+	c := &controller{log: log, events: make(chan func(*control.Module) []control.Action, 256), news: make(chan struct{})}
 	k := cfg.File.Control
 	bounds, force, local := control.DefaultBounds(), control.Set{}, cfg.File
 	c.local = local
@@ -70,11 +73,37 @@
 		}
 	}
 	c.module = control.New(bounds, local, force)
-	status := c.module.Status()
-	c.status.Store(&status)
+	c.publish()
 	return c, cfg, nil
 }
 
+// publish shows where the module stands, and wakes those that await it.
+func (c *controller) publish() {
+	s := c.module.Status()
+	c.status.Store(&s)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	close(c.news)
+	c.news = make(chan struct{})
+}
+
+// await returns when the status satisfies good, or with the context's error.
+func (c *controller) await(ctx context.Context, good func(control.Status) bool) error {
+	for {
+		c.mu.Lock()
+		news := c.news
+		c.mu.Unlock()
+		if s := c.status.Load(); s != nil && good(*s) {
+			return nil
+		}
+		select {
+		case <-news:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
 // run owns the module until ctx ends.
 func (c *controller) run(ctx context.Context) error {
 	c.group, ctx = errgroup.WithContext(ctx)
@@ -85,11 +114,11 @@
 			case <-ctx.Done():
 				return nil
 			case ev := <-c.events:
-				for _, a := range ev(c.module) {
+				actions := ev(c.module)
+				c.publish() // before anybody hears of it
+				for _, a := range actions {
 					c.carry(ctx, a)
 				}
-				s := c.module.Status()
-				c.status.Store(&s)
 			}
 		}
 	})
@@ -139,6 +168,8 @@
 		}
 	case control.ListRefused:
 		c.d.fleet.ListFailed(errors.New(strings.Join(a.Reasons, "; ")))
+	case control.Renew:
+		c.stream.Renew()
 	case control.Log:
 		c.log.Info(a.Text, "from", "control")
 	}
@@ -193,7 +224,9 @@
 
 // Lost implements stream.Handler.
 func (h handler) Lost(err error) {
-	h.c.d.fleet.ListFailed(err)
+	if !errors.Is(err, stream.ErrRenewed) {
+		h.c.d.fleet.ListFailed(err)
+	}
 	h.c.tell(h.ctx, control.Lost{})
 }
 
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -235,7 +235,7 @@
 		})
 	}
 	serve(d.metrics, promhttp.HandlerFor(d.registry, promhttp.HandlerOpts{}))
-	serve(d.socket, d.adminHandler())
+	serve(d.socket, d.AdminHandler())
 	return group.Wait()
 }
 
@@ -263,6 +263,14 @@
 	})
 }
 
+// AwaitControl returns when the state of streamed versions satisfies good, or with the context's error.
+func (d *Dispatcher) AwaitControl(ctx context.Context, good func(control.Status) bool) error {
+	if d.control == nil {
+		return errNothingStreamed
+	}
+	return d.control.await(ctx, good)
+}
+
 // ControlStatus tells where streamed versions stand; ok is false where nothing is streamed.
 func (d *Dispatcher) ControlStatus() (control.Status, bool) {
 	if d.control == nil {
--- a/standin/flight.go
+++ b/standin/flight.go
@@ -311,6 +311,7 @@
 // termsServer adds the action that changes the priority of what runs.
 type termsServer struct {
 	flight.FlightServer
+	node *Node
 	life *life
 }
 
@@ -330,5 +331,6 @@
 			}
 		}
 	})
+	t.node.mark(func() {})
 	return nil
 }
--- a/standin/node.go
+++ b/standin/node.go
@@ -114,7 +114,7 @@
 			return err
 		}))
 	server := &flightServer{node: n, life: v, ctx: ctx}
-	flight.RegisterFlightServiceServer(v.server, &termsServer{FlightServer: arrowsql.NewFlightServer(server), life: v})
+	flight.RegisterFlightServiceServer(v.server, &termsServer{FlightServer: arrowsql.NewFlightServer(server), node: n, life: v})
 	healthpb.RegisterHealthServer(v.server, health.NewServer())
 	n.mu.Lock()
 	n.life = v
