--- a/classify/classify.go
+++ b/classify/classify.go
@@ -19,6 +19,8 @@
 	Option    func(name string) string // a session option, "" where absent
 	Statement string
 	Command   string // name of the protocol's command, such as CommandGetTables
+	Token     string // by which nodes know a repeat of an INSERT, "" where absent
+	Harmless  bool   // the statement is not to run: only what it takes or gives is asked for
 }
 
 // Traits are what the module is told.
@@ -58,6 +60,7 @@
 	Classes []string
 	Tenants []string
 	Updates []int // for each class the one that its updates fall in
+	Keyed   []int // for each class the one that its inserts with a token fall in; nil or -1: none, they are updates
 	Default int
 	Hints   bool // hint comments and headers may state class, cost, memory and key
 }
@@ -75,6 +78,9 @@
 	return fmt.Sprintf("hint %s=%q: allowed: %s", e.Word, e.Value, e.Allowed)
 }
 
+// harmlessCost is the work of a query that runs nothing.
+const harmlessCost = time.Millisecond
+
 // Classify gives a query its traits. It fails on hints that cannot be used.
 func (t *Table) Classify(f Facts) (Traits, error) {
 	out := Traits{Class: -1, Tenant: -1}
@@ -92,7 +98,12 @@
 		out.Class = t.Default
 	}
 	out.Tenant = max(out.Tenant, 0)
-	if !IsRead(f.Statement) && f.Statement != "" {
+	switch {
+	case f.Harmless: // in no order, and of next to no work
+		out.Key, out.HasKey, out.Cost, out.MemoryMB = 0, false, harmlessCost, 0
+	case f.Token != "" && t.Keyed != nil && t.Keyed[out.Class] >= 0 && IsInsert(f.Statement):
+		out.Class = t.Keyed[out.Class]
+	case !IsRead(f.Statement) && f.Statement != "":
 		out.Class = t.Updates[out.Class]
 	}
 	return out, nil
--- a/classify/statement.go
+++ b/classify/statement.go
@@ -203,6 +203,23 @@
 	}
 }
 
+// IsInsert tells a statement that is surely one INSERT and nothing else, so that a token covers all that it does.
+func IsInsert(statement string) bool {
+	s := scanner{text: statement}
+	for first, ended := true, false; ; {
+		kind, word := s.next()
+		switch {
+		case kind == tokenEnd:
+			return !first
+		case kind == tokenBroken, ended, first && (kind != tokenWord || !strings.EqualFold(word, "INSERT")):
+			return false
+		case kind == tokenOther && word == ";":
+			ended = true
+		}
+		first = false
+	}
+}
+
 // InsertsClientData tells an INSERT whose rows are to come from the client, behind the statement: it ends with VALUES or
 // FORMAT and a name, or holds neither VALUES nor SELECT.
 func InsertsClientData(statement string) bool {
--- a/config/config.go
+++ b/config/config.go
@@ -171,6 +171,8 @@
 	SchemaMost   int      `json:"schema_most"`
 	MaxStatement int      `json:"max_statement_bytes"`
 	MaxParams    int      `json:"max_parameter_bytes"`
+	InsertMost   int      `json:"max_insert_bytes"`  // rows and external tables of one native query
+	InsertsHeld  int      `json:"held_insert_bytes"` // of all of them together, until they have their answers
 }
 
 // Log says what is logged.
@@ -289,6 +291,8 @@
 	or(&r.SchemaMost, 4096)
 	or(&r.MaxStatement, 2<<20)
 	or(&r.MaxParams, 256<<10)
+	or(&r.InsertMost, 64<<20)
+	or(&r.InsertsHeld, 512<<20)
 	if k := f.Control; k != nil {
 		or(&k.Keep, 10)
 		or(&k.Floor, 0.5)
@@ -306,6 +310,9 @@
 // UpdatesSuffix ends the name of the class that a class's updates fall in, where their effect differs.
 const UpdatesSuffix = " (updates)"
 
+// KeyedSuffix ends the name of the class that a class's inserts with a deduplication token fall in.
+const KeyedSuffix = " (keyed)"
+
 var (
 	effects   = map[string]choice.Effect{"safe": choice.Safe, "keyed": choice.Keyed, "unsafe": choice.Unsafe}
 	groups    = map[string]choice.Group{"all": choice.GroupAll, "hall": choice.GroupZone, "cell": choice.GroupCell}
@@ -427,6 +434,8 @@
 	}
 	within("front.max_statement_bytes", float64(f.Front.MaxStatement), 1024, 64<<20)
 	within("front.max_parameter_bytes", float64(f.Front.MaxParams), 1024, 64<<20)
+	within("front.max_insert_bytes", float64(f.Front.InsertMost), 1<<10, 1<<40)
+	within("front.held_insert_bytes", float64(f.Front.InsertsHeld), float64(f.Front.InsertMost), 1<<40)
 	within("front.schema_most", float64(f.Front.SchemaMost), 1, 1e6)
 	index("log.level", f.Log.Level, []string{"debug", "info", "warn", "error"})
 	index("log.format", f.Log.Format, []string{"json", "console"})
@@ -489,6 +498,14 @@
 			m.Name, m.Effect = k.Name+UpdatesSuffix, effects[k.Updates]
 			updates = append(updates, m)
 		}
+		c.Classes.Keyed = append(c.Classes.Keyed, -1)
+		if k.Updates == "keyed" {
+			c.Classes.Keyed[i] = c.Classes.Updates[i]
+		} else if k.Updates == "unsafe" && k.Window > 0 { // nodes remember tokens
+			c.Classes.Keyed[i] = len(f.Classes) + len(updates)
+			m.Name, m.Effect = k.Name+KeyedSuffix, choice.Keyed
+			updates = append(updates, m)
+		}
 	}
 	unique("classes", c.Classes.Classes)
 	if len(f.Classes) == 0 {
@@ -498,6 +515,7 @@
 	for i := range updates {
 		s.Classes = append(s.Classes, updates[i])
 		c.Classes.Updates = append(c.Classes.Updates, len(f.Classes)+i)
+		c.Classes.Keyed = append(c.Classes.Keyed, -1)
 	}
 	c.Classes.Default = max(index("default_class", f.Default, c.Classes.Classes), 0)
 	c.Classes.Hints = !f.NoHints
--- a/control/judge.go
+++ b/control/judge.go
@@ -101,7 +101,7 @@
 
 func classNames(f config.File) (names []string) {
 	for _, c := range f.Classes {
-		names = append(names, c.Name, c.Name+config.UpdatesSuffix)
+		names = append(names, c.Name, c.Name+config.UpdatesSuffix, c.Name+config.KeyedSuffix)
 	}
 	return names
 }
--- a/control/parts.go
+++ b/control/parts.go
@@ -18,7 +18,7 @@
 	Kinds       []config.Kind   `json:"kinds"`
 	Rules       []config.Rule   `json:"rules"`
 	NoHints     bool            `json:"no_hints"`
-	Front       config.Front    `json:"front"` // all but schema_life and schema_most
+	Front       config.Front    `json:"front"` // all but schema_life, schema_most, max_insert_bytes and held_insert_bytes
 }
 
 func us(d config.Duration) int64 { return d.D().Microseconds() }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -235,7 +235,8 @@
 		code = choice.Cancelled
 	}
 	c.events = append(c.events, choice.Outcome{ID: ev.ID, Attempt: ev.N, Engine: node, Code: code,
-		Over: e.final != 0 || over(ev, broken), Took: ev.Took, Load: ev.Load})
+		Over: e.final != 0 || over(ev, broken), Took: ev.Took, Load: ev.Load,
+		WorkUs: ev.WorkUs, NeedMB: ev.NeedMB})
 	if e.final == 0 && over(ev, broken) {
 		v := Verdict{Final: Served, Result: ev.Result, Cause: ev.Err}
 		switch {
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -130,6 +130,8 @@
 		Rejected bool // the node's word that the statement is wrong: an answer, no fault of the node
 		Took     Micros
 		Load     *choice.Load
+		WorkUs   Micros  // processor time of all threads, where the node tells; else 0
+		NeedMB   float64 // most memory, where the node tells; else 0
 		Result   any
 		Err      error
 	}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -107,8 +107,9 @@
 	d.desk = front.NewDesk(d.loop, d.clock, tables(cfg, 0))
 	d.front = flightsql.New(flightsql.Options{Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
 		SchemaMost: r.SchemaMost, PassHeaders: f.Sending.PassHeaders}, d.desk)
-	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame}, d.desk)
-	observer.watch(d.desk, d.fleet)
+	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame, Revision: d.fleet.NativeRevision,
+		InsertMost: r.InsertMost, InsertsHeld: r.InsertsHeld, SampleLife: r.SchemaLife.D(), SampleMost: r.SchemaMost}, d.desk)
+	observer.watch(d.desk, d.fleet, d.native, r.InsertsHeld)
 	d.server = grpc.NewServer(append(d.front.ServerOptions(),
 		// Clients that vanished are noticed within this time, so that nothing runs on for them.
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
@@ -166,6 +167,9 @@
 	return d.natives.Addr().String()
 }
 
+// Native is the front for the ClickHouse native protocol.
+func (d *Dispatcher) Native() *clickhouse.Front { return d.native }
+
 // Fleet is the dispatcher's view of the query nodes.
 func (d *Dispatcher) Fleet() *fleet.Fleet { return d.fleet }
 
--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -34,7 +34,7 @@
 const rigConfig = `{
   "listen": {"flightsql": "127.0.0.1:0", "native": "127.0.0.1:0"},
   "classes": [
-    {"name": "lookup", "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s"},
+    {"name": "lookup", "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s", "window": "1m"},
     {"name": "report", "worth": 10, "aim": "2s", "deadline": "15s", "threads": 4, "late_worth": 0.4}
   ],
   "sending": {"grants": true, "priorities": true, "probes": true},
--- /dev/null
+++ b/dispatcher/insert_test.go
@@ -0,0 +1,407 @@
+package dispatcher_test
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/ClickHouse/ch-go"
+	"github.com/ClickHouse/ch-go/proto"
+	clickhouse "github.com/ClickHouse/clickhouse-go/v2"
+
+	"embershunt/internal/native"
+	"embershunt/standin"
+)
+
+// insertNative sends so many blocks of rows.
+func insertNative(ctx context.Context, c *ch.Client, statement string, blocks, rows int, settings ...ch.Setting) error {
+	var id proto.ColUInt64
+	var name proto.ColStr
+	fill := func() {
+		for i := range rows {
+			id.Append(uint64(i))
+			name.Append(fmt.Sprintf("name-%d", i%7))
+		}
+	}
+	fill()
+	sent := 1
+	return c.Do(ctx, ch.Query{Body: statement, Settings: settings, Input: proto.Input{{Name: "id", Data: &id}, {Name: "name", Data: &name}},
+		OnInput: func(context.Context) error {
+			id.Reset()
+			name.Reset()
+			if sent == blocks {
+				return io.EOF
+			}
+			sent++
+			fill()
+			return nil
+		}})
+}
+
+// Unmodified clients insert rows and read them back, under each kind of compression.
+func TestNativeCompressionBothWays(t *testing.T) {
+	for name, compression := range map[string]ch.Compression{"disabled": ch.CompressionDisabled, "lz4": ch.CompressionLZ4,
+		"lz4hc": ch.CompressionLZ4HC, "zstd": ch.CompressionZSTD, "none": ch.CompressionNone} {
+		t.Run(name, func(t *testing.T) {
+			r := newRig(t, 2, "")
+			c, err := ch.Dial(t.Context(), ch.Options{Address: r.d.NativeAddress(), User: "u", Compression: compression,
+				Settings: []ch.Setting{{Key: "network_compression_method", Value: strings.ToUpper(strings.TrimSuffix(name, "hc"))}}})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			for range 2 {
+				if err := insertNative(t.Context(), c, "INSERT INTO events (id, name) VALUES", 5, 700); err != nil {
+					t.Fatal(err)
+				}
+				if n, err := selectNative(t.Context(), c, "SELECT * FROM policy /* rows=3000 */"); err != nil || n != 3000 {
+					t.Fatalf("%d rows, %v", n, err)
+				}
+			}
+			brought, samples := 0, 0
+			for _, s := range r.seen("INSERT INTO events (id, name) VALUES") {
+				if brought += s.Rows; !s.Ran {
+					samples++
+				}
+			}
+			if brought != 7000 || samples != 1 {
+				t.Errorf("nodes took %d rows, want 7000; asked for columns %d times, want 1", brought, samples)
+			}
+			if b, _, _ := r.d.Native().Holding(); b != 0 {
+				t.Errorf("%d bytes are still held", b)
+			}
+		})
+	}
+}
+
+// clickhouse-go's batches, its database/sql form and a pool of 50 connections; parameters; an external table.
+func TestNativeClientsOfAllKinds(t *testing.T) {
+	r := newRig(t, 2, "")
+	options := func(m clickhouse.CompressionMethod) *clickhouse.Options {
+		return &clickhouse.Options{Addr: []string{r.d.NativeAddress()}, MaxOpenConns: 50, MaxIdleConns: 50,
+			Compression: &clickhouse.Compression{Method: m}, Settings: clickhouse.Settings{"max_execution_time": 10}}
+	}
+	var came atomic.Int32
+	for _, m := range []clickhouse.CompressionMethod{clickhouse.CompressionNone, clickhouse.CompressionLZ4, clickhouse.CompressionZSTD} {
+		conn, err := clickhouse.Open(options(m))
+		if err != nil {
+			t.Fatal(err)
+		}
+		batch, err := conn.PrepareBatch(t.Context(), "INSERT INTO events (id, name)")
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i := range 2500 {
+			if err := batch.Append(uint64(i), "a name"); err != nil {
+				t.Fatal(err)
+			}
+		}
+		if err := batch.Send(); err != nil {
+			t.Fatal(err)
+		}
+		var group sync.WaitGroup
+		for range 50 {
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				for range 4 {
+					rows, err := conn.Query(clickhouse.Context(t.Context(), clickhouse.WithParameters(clickhouse.Parameters{"n": "7"})),
+						"SELECT node, row FROM policy WHERE id = {n:UInt64} /* rows=20 work_ms=2 cost_ms=2 */")
+					var refused *clickhouse.Exception
+					if errors.As(err, &refused) && refused.Code == 202 { // it comes back when it was told to
+						came.Add(1)
+						_, ms, _ := strings.Cut(refused.Message, "come back in ")
+						wait, _ := time.ParseDuration(strings.Replace(ms, " ms", "ms", 1))
+						<-time.After(wait)
+						rows, err = conn.Query(t.Context(), "SELECT node, row FROM policy /* rows=20 work_ms=2 cost_ms=2 */")
+					}
+					if err != nil {
+						t.Error(err)
+						return
+					}
+					n := 0
+					for rows.Next() {
+						n++
+					}
+					if rows.Close(); n != 20 || rows.Err() != nil {
+						t.Errorf("%d rows, %v", n, rows.Err())
+					}
+				}
+			}()
+		}
+		group.Wait()
+		conn.Close()
+	}
+	t.Logf("%d of 600 were refused at first, and served when they came back as told", came.Load())
+	db := clickhouse.OpenDB(options(clickhouse.CompressionLZ4))
+	defer db.Close()
+	tx, err := db.Begin()
+	if err != nil {
+		t.Fatal(err)
+	}
+	s, err := tx.Prepare("INSERT INTO events (id, name)")
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range 100 {
+		if _, err := s.Exec(uint64(i), "x"); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if err := tx.Commit(); err != nil {
+		t.Fatal(err)
+	}
+	brought := 0
+	for _, s := range r.seen("INSERT INTO events (id, name) FORMAT Native") {
+		brought += s.Rows
+	}
+	if brought != 3*2500+100 {
+		t.Errorf("nodes took %d rows, want %d", brought, 3*2500+100)
+	}
+	c := r.native(t, "u")
+	defer c.Close()
+	var ids proto.ColUInt64
+	for i := range 30 {
+		ids.Append(uint64(i))
+	}
+	var node proto.ColStr
+	var row proto.ColInt64
+	const joined = "SELECT node, row FROM policy JOIN wanted USING id /* rows=1 */"
+	if err := c.Do(t.Context(), ch.Query{Body: joined, ExternalTable: "wanted", ExternalData: proto.Input{{Name: "id", Data: &ids}},
+		Result: proto.Results{{Name: "node", Data: &node}, {Name: "row", Data: &row}}}); err != nil {
+		t.Fatal(err)
+	}
+	if got := r.seen(joined)[0].Tables; len(got) != 1 || got[0] != "wanted:30" {
+		t.Errorf("the node has the tables %q", got)
+	}
+}
+
+// What happens to an INSERT whose node does not answer: with a token another node of its group gets the rows again and
+// the effect is there once; without one nothing is sent twice, unless the first node never got a row.
+func TestEffectsOfInserts(t *testing.T) {
+	const statement = "INSERT INTO events (id, name) VALUES"
+	cases := []struct {
+		name  string
+		fault standin.Faults
+		token string
+		want  string
+		nodes int // that got the rows
+	}{
+		{"answer lost, with a token", standin.Faults{Lost: true}, "t1", "", 2},
+		{"answer lost, without one", standin.Faults{Lost: true}, "", "ATTEMPT_FAILED", 1},
+		{"silent before it took a row", standin.Faults{Hang: true}, "", "", 1},
+		{"turned away", standin.Faults{Full: true}, "", "", 2},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRigWith(t, 2, func(rows string) string { return `{"list": [` + rows + `]}` },
+				`, "limits": {"attempts": 3}`)
+			tokens := standin.NewTokens(time.Minute)
+			for _, n := range r.nodes {
+				n.Tokens = tokens
+			}
+			client := r.native(t, "u")
+			defer client.Close()
+			if err := insertNative(t.Context(), client, statement, 1, 1); err != nil { // the columns are cached from now on
+				t.Fatal(err)
+			}
+			hit := 0
+			for range 20 { // until the faulty node was the first one
+				before := [2]int{}
+				for i, n := range r.nodes {
+					n.Set(standin.Faults{})
+					before[i] = len(n.Seen())
+				}
+				r.nodes[0].Set(c.fault)
+				settings := []ch.Setting{{Key: "max_execution_time", Value: "3"}}
+				if c.token != "" {
+					settings = append(settings, ch.Setting{Key: "insert_deduplication_token", Value: fmt.Sprint(c.token, hit, before)})
+				}
+				conn := r.native(t, "u")
+				err := insertNative(t.Context(), conn, statement, 3, 10, settings...)
+				conn.Close()
+				after := r.nodes[0].Seen()[before[0]:]
+				if len(after) == 0 {
+					continue
+				}
+				hit++
+				if c.want == "" && err != nil || c.want != "" && (err == nil || !strings.Contains(err.Error(), c.want)) {
+					t.Fatalf("%v, want %q", err, c.want)
+				}
+				ran, got := 0, 0
+				for i, n := range r.nodes {
+					for _, s := range n.Seen()[before[i]:] {
+						if got++; s.Ran {
+							ran++
+						}
+					}
+				}
+				if ran != 1 || c.nodes == 2 && got < 2 || c.want != "" && got != 1 {
+					t.Errorf("it ran %d times, %d attempts", ran, got)
+				}
+				break
+			}
+			if hit == 0 {
+				t.Error("the faulty node was never asked")
+			}
+		})
+	}
+}
+
+// rawNative is a native client that a test plays packet by packet.
+type rawNative struct {
+	t testing.TB
+	net.Conn
+	r *native.Reader
+}
+
+func (r *rig) rawNative(t testing.TB, revision int) *rawNative {
+	t.Helper()
+	conn, err := net.Dial("tcp", r.d.NativeAddress())
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	c := &rawNative{t, conn, native.NewReader(conn, 1<<20)}
+	c.SetDeadline(time.Now().Add(10 * time.Second))
+	c.Write(native.Hello{Name: "raw", Major: 1, Revision: revision, User: "u"}.Encode())
+	s, err := c.r.ReadServerHello()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if min(s.Revision, revision) >= native.AddendumFrom {
+		c.Write(native.PutText(nil, ""))
+	}
+	return c
+}
+
+func (c *rawNative) ask(statement string, settings ...native.Setting) {
+	q := native.Query{ID: "q", Info: []byte{0}, Stage: 2, Text: statement, Settings: settings}
+	c.Write(append(q.Encode(native.Newest), native.EndOfData()...))
+}
+
+// until reads packets up to one of a kind, or to an Exception or the end.
+func (c *rawNative) until(code uint64) native.Packet {
+	c.t.Helper()
+	for {
+		p, err := c.r.ReadServer(native.Newest)
+		if err != nil {
+			c.t.Fatal(err)
+		}
+		if p.Code == code || p.Code == native.ServerException || p.Code == native.ServerEndOfStream {
+			return p
+		}
+	}
+}
+
+// block is a Data packet with the columns of the stand-in's table.
+func block(t testing.TB, rows int, size int) []byte {
+	var id proto.ColUInt64
+	var name proto.ColStr
+	for range rows {
+		id.Append(1)
+		name.Append(strings.Repeat("x", size))
+	}
+	var b proto.Buffer
+	b.PutUVarInt(native.ClientData)
+	b.PutString("")
+	input := proto.Input{{Name: "id", Data: &id}, {Name: "name", Data: &name}}
+	if err := (proto.Block{Rows: rows, Columns: 2, Info: proto.BlockInfo{BucketNum: -1}}).EncodeBlock(&b, native.Newest, input); err != nil {
+		t.Fatal(err)
+	}
+	return b.Buf
+}
+
+// Clients whose INSERT goes wrong on their side: nothing is sent for it, and nothing stays held.
+func TestInsertsThatClientsSpoil(t *testing.T) {
+	const statement = "INSERT INTO events (id, name) VALUES"
+	cases := []struct {
+		name string
+		play func(c *rawNative, r *rig)
+		code int32 // of the Exception; 0: none is due
+		says string
+	}{
+		{"stalled half-way", func(c *rawNative, r *rig) { c.Write(block(c.t, 5, 10)) }, 159, "CLIENT_STALLED"},
+		{"gone half-way", func(c *rawNative, r *rig) { c.Write(block(c.t, 5, 10)[:40]); c.Close() }, 0, ""},
+		{"called off half-way", func(c *rawNative, r *rig) {
+			c.Write(block(c.t, 5, 10))
+			c.Write([]byte{native.ClientCancel})
+			if p := c.until(native.ServerEndOfStream); p.Code != native.ServerEndOfStream {
+				c.t.Errorf("packet %d, %v", p.Code, p.Exception)
+			}
+			c.ask("SELECT 1 /* rows=2 */") // on the same connection
+			if p := c.until(native.ServerEndOfStream); p.Code != native.ServerEndOfStream {
+				c.t.Errorf("the next query: packet %d, %v", p.Code, p.Exception)
+			}
+		}, 0, ""},
+		{"more than allowed", func(c *rawNative, r *rig) {
+			for range 30 {
+				c.Write(block(c.t, 10, 1000))
+			}
+		}, 241, "QUERY_TOO_LARGE"},
+		{"a broken block", func(c *rawNative, r *rig) { c.Write([]byte{native.ClientData, 0, 9, 9}) }, 101, "field of block info"},
+		{"a query among the rows", func(c *rawNative, r *rig) { c.ask("SELECT 1") }, 101, "among the rows"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 1, `, "front": {"max_insert_bytes": 100000, "held_insert_bytes": 1000000}`)
+			raw := r.rawNative(t, native.Newest)
+			raw.ask(statement, native.Setting{Name: "max_execution_time", Value: "0.4"})
+			if p := raw.until(native.ServerData); p.Block.Columns != 2 || p.Block.Rows != 0 {
+				t.Fatalf("the columns: %+v, %v", p.Block, p.Exception)
+			}
+			c.play(raw, r)
+			if c.code != 0 {
+				if p := raw.until(native.ServerException); p.Exception == nil || p.Exception.Code != c.code || !strings.Contains(p.Exception.Message, c.says) {
+					t.Errorf("%v, want %d with %q", p.Exception, c.code, c.says)
+				}
+			}
+			raw.Close()
+			next := r.native(t, "u")
+			defer next.Close()
+			if err := insertNative(t.Context(), next, statement, 1, 3); err != nil {
+				t.Error("the next client: ", err)
+			}
+			ran := 0
+			for _, s := range r.seen(statement) {
+				if s.Ran {
+					ran++
+				}
+			}
+			if b, _, _ := r.d.Native().Holding(); ran != 1 || b != 0 {
+				t.Errorf("%d inserts ran, want that of the next client; %d bytes are held", ran, b)
+			}
+		})
+	}
+}
+
+// Without room for more rows newcomers are turned away with a come-back time, and those that have begun end.
+func TestNoRoomForRows(t *testing.T) {
+	r := newRig(t, 1, `, "front": {"max_insert_bytes": 60000, "held_insert_bytes": 80000}`)
+	const statement = "INSERT INTO events (id, name) VALUES"
+	first, second := r.rawNative(t, native.Newest), r.rawNative(t, native.Newest)
+	for _, c := range []*rawNative{first, second} {
+		c.ask(statement)
+		c.until(native.ServerData)
+	}
+	first.Write(block(t, 50, 1000))
+	first.Write([]byte{native.ClientPing})
+	if p := first.until(native.ServerPong); p.Code != native.ServerPong { // its rows are held now
+		t.Fatal(p.Code, p.Exception)
+	}
+	second.Write(block(t, 30, 1000))
+	if p := second.until(native.ServerException); p.Exception == nil || p.Exception.Code != 202 || !strings.Contains(p.Exception.Message, "come back in") {
+		t.Errorf("the newcomer: %v", p.Exception)
+	}
+	first.Write(native.EndOfData())
+	if p := first.until(native.ServerEndOfStream); p.Code != native.ServerEndOfStream {
+		t.Errorf("the one under way: %v", p.Exception)
+	}
+}
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -15,6 +15,7 @@
 	"embershunt/dispatch"
 	"embershunt/fleet"
 	"embershunt/front"
+	"embershunt/front/clickhouse"
 )
 
 // observer turns what the loop does into metrics, log lines and spans. All but the collectors' own locks is used by
@@ -91,12 +92,25 @@
 }
 
 // watch adds the figures that others keep.
-func (o *observer) watch(desk *front.Desk, f *fleet.Fleet) {
+func (o *observer) watch(desk *front.Desk, f *fleet.Fleet, n *clickhouse.Front, insertsHeld int) {
 	o.registry.MustRegister(
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "queries_unruled_total",
 			Help: "Queries that no rule and no hint gave a class."}, func() float64 { return float64(desk.Unruled()) }),
 		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "node_list_failures_total",
 			Help: "Node lists that failed or could not be used."}, func() float64 { return float64(f.ListFailures()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "native_connections",
+			Help: "Open connections of native clients."}, func() float64 { return float64(n.Conns()) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_insert_bytes",
+			Help: "Bytes of clients' rows and external tables held until their queries have an answer."},
+			func() float64 { b, _, _ := n.Holding(); return float64(b) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "held_insert_bytes_limit",
+			Help: "Most of them."}, func() float64 { return float64(insertsHeld) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "inserts_too_large_total",
+			Help: "Queries turned away because they alone brought more than allowed."},
+			func() float64 { _, large, _ := n.Holding(); return float64(large) }),
+		prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "inserts_no_room_total",
+			Help: "Queries turned away because there was no room for what they brought."},
+			func() float64 { _, _, full := n.Holding(); return float64(full) }),
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "drain_last_send_seconds",
 			Help: "Longest time from a drain notice to a send to that node after it; 0: none was sent."},
 			func() float64 { return f.LastSendAfterDrain().Seconds() }))
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -34,6 +34,9 @@
 	timer  *time.Timer
 	load   *choice.Load
 	notRun bool // the node proved that nothing ran
+	unsent bool // nothing that could run has been written yet
+	workUs int64
+	needMB float64
 }
 
 // carrier makes an attempt in one protocol.
@@ -121,7 +124,7 @@
 func (t *attempt) run(ctx context.Context, c carrier) dispatch.Ended {
 	result, err := t.use(ctx, c)
 	ev := dispatch.Ended{ID: t.a.Query.ID, N: t.a.N, Took: time.Since(t.begun).Microseconds(), Load: t.load,
-		Result: result, Err: err}
+		WorkUs: t.workUs, NeedMB: t.needMB, Result: result, Err: err}
 	ev.Code, ev.Rejected = t.code(ctx, c, err)
 	return ev
 }
@@ -146,6 +149,8 @@
 		return choice.Full, false
 	case errors.Is(err, errNotConnected), errors.Is(err, errUnknownNode), errors.Is(err, errOtherWork):
 		return choice.Refused, false
+	case errors.Is(cause, errTimedOut) && t.unsent:
+		return choice.Refused, false
 	case errors.Is(cause, errTimedOut):
 		return choice.TimedOut, false
 	case cause != nil: // called off, or the fleet closes
--- a/fleet/native.go
+++ b/fleet/native.go
@@ -10,7 +10,10 @@
 	"strconv"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
 	"embershunt/choice"
+	"embershunt/dispatch"
 	"embershunt/internal/native"
 )
 
@@ -92,7 +95,7 @@
 	}
 	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
 	c := &nativeConn{conn: conn, r: native.NewReader(conn, o.MaxFrame), w: bufio.NewWriter(conn), key: key}
-	err = c.shake(o)
+	err = c.shake(o, n)
 	if !stop() || err != nil {
 		conn.Close()
 		return nil, errNotConnected
@@ -100,7 +103,21 @@
 	return c, nil
 }
 
-func (c *nativeConn) shake(o *Options) error {
+// NativeRevision is the newest revision of the native protocol that every node speaks, as far as is known; 0 where nothing
+// is. Clients are to be held to it: one of a newer revision finds no connection at an older node.
+func (f *Fleet) NativeRevision() int {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	least := int64(0)
+	for _, n := range f.nodes { // the least: the order does not matter
+		if r := n.revision.Load(); r > 0 && !n.gone && (least == 0 || r < least) {
+			least = r
+		}
+	}
+	return int(least)
+}
+
+func (c *nativeConn) shake(o *Options, n *node) error {
 	c.w.Write(native.Hello{Name: "embershunt", Major: 1, Revision: c.key.revision, Database: c.key.database,
 		User: o.NativeUser, Password: o.NativePassword}.Encode())
 	if err := c.w.Flush(); err != nil {
@@ -110,6 +127,7 @@
 	if err != nil {
 		return err
 	}
+	n.revision.Store(int64(s.Revision))
 	if s.Revision < c.key.revision { // packets would have another form than the client's
 		return errors.New("the node speaks an older revision")
 	}
@@ -122,8 +140,40 @@
 // nativeAttempt makes an attempt over the ClickHouse native protocol.
 type nativeAttempt struct {
 	*attempt
-	call    *native.Call
-	written bool
+	call  *native.Call
+	share progress
+}
+
+// progress is how far a node says it is, and what of that was passed on.
+type progress struct {
+	read, total uint64
+	told        time.Time
+}
+
+// noteEvery is the least time between two notes on one attempt.
+const noteEvery = 100 * time.Millisecond
+
+// note passes on the share of its rows that a node has read, where it knows how many there are.
+func (t *nativeAttempt) note(p native.Progress) {
+	t.share.read += p.Rows
+	t.share.total += p.Total
+	now := time.Now()
+	if t.share.total == 0 || t.share.read > t.share.total || now.Sub(t.share.told) < noteEvery {
+		return
+	}
+	t.share.told = now
+	t.f.post.Post(dispatch.Told{Event: choice.Progress{ID: t.a.Query.ID, Attempt: t.a.N, Engine: t.a.Node, Kind: choice.ShareDone,
+		Value: float64(t.share.read) / float64(t.share.total)}})
+}
+
+// cost adds what a node tells of a query's work and memory; what cannot be read is left out.
+func (t *nativeAttempt) cost(block []byte) {
+	p, err := native.ReadProfile(block, t.call.Revision)
+	if err != nil {
+		return
+	}
+	t.workUs += p.WorkUs
+	t.needMB = max(t.needMB, float64(p.Peak)/1e6)
 }
 
 // try implements carrier.
@@ -133,6 +183,7 @@
 		return nil, err
 	}
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
+	t.unsent = true
 	clean, err := t.speak(ctx, c)
 	if stop() && clean {
 		n.keep(c)
@@ -180,12 +231,90 @@
 // speak sends the query and passes its answer on; clean tells that the connection may serve another one. Head and progress
 // are kept back until the first rows or the end are there: while the client has seen nothing, another node may answer.
 func (t *nativeAttempt) speak(ctx context.Context, c *nativeConn) (clean bool, err error) {
-	t.written = true // from the first byte on
+	c.r.Packed = t.call.Query.Compression
+	// An INSERT does nothing before its rows are there, and what is asked for a sample never gets any.
+	t.unsent = t.call.Data != nil || t.call.Sample
 	c.w.Write(t.query().Encode(t.call.Revision))
-	c.w.Write(native.EndOfData())
+	c.w.Write(t.call.Tables)
 	if err := c.w.Flush(); err != nil {
 		return false, err
 	}
+	if t.call.Data != nil || t.call.Sample {
+		sample, err := t.sample(ctx, c)
+		if err != nil {
+			var e *native.Exception
+			return errors.As(err, &e), err
+		}
+		if t.call.Sample { // the node is left waiting for rows, so that the connection ends here
+			if err := t.mayFlow(ctx); err != nil {
+				return false, err
+			}
+			return false, t.call.Sink.Packet(sample)
+		}
+	}
+	var upload errgroup.Group
+	if t.call.Data != nil {
+		t.unsent = false
+		upload.Go(func() error { return t.upload(c) })
+	}
+	clean, err = t.answer(ctx, c)
+	if t.call.Data != nil {
+		if !clean || err != nil { // the node has spoken: what it has not taken by now it does not want
+			c.conn.SetWriteDeadline(time.Unix(1, 0))
+		}
+		if failed := upload.Wait(); failed != nil {
+			clean = false
+			if err == nil {
+				err = failed
+			}
+		}
+		c.conn.SetWriteDeadline(time.Time{})
+	}
+	return clean, err
+}
+
+// columnsWithin is how long a node may take to tell which columns an INSERT takes, in connect time-outs: that is no work,
+// and nothing has run yet, so that a silent node is as one that is not connected.
+const columnsWithin = 4
+
+// sample reads up to the block that tells which columns an INSERT takes.
+func (t *nativeAttempt) sample(ctx context.Context, c *nativeConn) (p native.Packet, err error) {
+	c.conn.SetReadDeadline(time.Now().Add(columnsWithin * t.f.opt.ConnectTimeout))
+	defer func() {
+		if c.conn.SetReadDeadline(time.Time{}); ctx.Err() != nil { // the attempt's end may have set one of its own
+			err = context.Cause(ctx)
+		}
+		if errors.Is(err, os.ErrDeadlineExceeded) {
+			err = errNotConnected
+		}
+	}()
+	for {
+		p, err = c.r.ReadServer(t.call.Revision)
+		switch {
+		case err != nil:
+			return p, err
+		case p.Code == native.ServerException:
+			return p, p.Exception
+		case p.Code == native.ServerData:
+			return p, nil
+		case p.Code == native.ServerEndOfStream:
+			return p, &native.Exception{Code: 101, Name: "DB::Exception", Message: "DB::Exception: the node took no rows for the INSERT"}
+		}
+	}
+}
+
+// upload writes the rows of an INSERT.
+func (t *nativeAttempt) upload(c *nativeConn) error {
+	for _, packet := range t.call.Data {
+		if _, err := c.w.Write(packet); err != nil {
+			return err
+		}
+	}
+	return c.w.Flush()
+}
+
+// answer passes the node's answer on.
+func (t *nativeAttempt) answer(ctx context.Context, c *nativeConn) (clean bool, err error) {
 	var held []native.Packet
 	kept, flows := 0, false
 	flow := func() error {
@@ -210,8 +339,13 @@
 			return false, err
 		}
 		switch p.Code {
-		case native.ServerLog, native.ServerProfileEvents, native.ServerPong, native.ServerTableColumns:
+		case native.ServerProfileEvents:
+			t.cost(p.Raw[p.Body:])
+			continue
+		case native.ServerLog, native.ServerPong, native.ServerTableColumns:
 			continue // the node's own affairs
+		case native.ServerProgress:
+			t.note(p.Progress)
 		case native.ServerException:
 			return true, p.Exception
 		case native.ServerEndOfStream:
@@ -255,12 +389,14 @@
 	var e *native.Exception
 	var form *native.FormatError
 	switch {
-	case !t.written:
-		return choice.Refused, false
 	case errors.As(err, &e) && e.Code == tooManyQueries:
 		return choice.Full, false
+	case errors.As(err, &e) && !nodeTroubles[e.Code]:
+		return choice.Failed, true
+	case t.unsent:
+		return choice.Refused, false
 	case errors.As(err, &e):
-		return choice.Failed, !nodeTroubles[e.Code]
+		return choice.Failed, false
 	case errors.As(err, &form):
 		return choice.Failed, false
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF):
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"google.golang.org/grpc"
@@ -20,6 +21,8 @@
 	users       int  // calls that hold it; under Fleet.mu
 	gone        bool // left the list, or moved to another address; under Fleet.mu
 
+	revision atomic.Int64 // newest of the native protocol that it speaks; 0: not known yet
+
 	mu     sync.Mutex
 	conn   *grpc.ClientConn
 	idle   []*nativeConn
--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -3,6 +3,7 @@
 package clickhouse
 
 import (
+	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -30,12 +31,19 @@
 	MaxPacket   int           // bytes; default 16 MiB
 	HelloWithin time.Duration // a client that has not shaken hands by then is closed; default 5 s
 	MaxConns    int           // default 20000
+	InsertMost  int           // bytes that one query may bring as rows and external tables; default 64 MiB
+	InsertsHeld int           // bytes of all of them together; default 512 MiB
+	Revision    func() int    // the newest that all nodes speak; 0: not known; nil: the newest there is
+	SampleLife  time.Duration // how long the columns of an INSERT are cached; default 5 min
+	SampleMost  int           // statements cached; default 4096
 }
 
 // Front serves the protocol on a listener.
 type Front struct {
-	opt  Options
-	desk *front.Desk
+	opt     Options
+	desk    *front.Desk
+	store   store
+	samples *front.Cache
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
@@ -55,7 +63,20 @@
 	if o.MaxConns == 0 {
 		o.MaxConns = 20000
 	}
-	return &Front{opt: o, desk: d, conns: map[net.Conn]bool{}}
+	if o.InsertMost == 0 {
+		o.InsertMost = 64 << 20
+	}
+	if o.InsertsHeld == 0 {
+		o.InsertsHeld = 512 << 20
+	}
+	if o.SampleLife == 0 {
+		o.SampleLife = 5 * time.Minute
+	}
+	if o.SampleMost == 0 {
+		o.SampleMost = 4096
+	}
+	return &Front{opt: o, desk: d, conns: map[net.Conn]bool{}, samples: front.NewCache(o.SampleMost, o.SampleLife),
+		store: store{books: dispatch.NewHolding(int64(o.InsertMost), int64(o.InsertsHeld)), begin: time.Now()}}
 }
 
 // Serve takes connections until ctx ends or the listener fails, and returns when all of them are closed.
@@ -122,17 +143,22 @@
 	r        *native.Reader
 	revision int
 	hello    native.Hello
+	held     dispatch.Held // of the present query's rows and tables; the store's lock guards it
 
 	mu      sync.Mutex // of what is written
+	spoke   bool       // the last word may have been an Exception of the front's own
 	over    bool       // the answer has its end: nothing of it may be written any more
 	partial bool       // a packet was written in part
 }
 
 // step is what the reader saw.
 type step struct {
-	code  uint64
-	query native.Query
-	err   error
+	code   uint64
+	query  native.Query
+	tables []byte       // of a query: its external tables and the empty block behind them
+	data   []byte       // of Data: the packet
+	block  native.Block // of Data
+	err    error
 }
 
 func (s *session) serve(ctx context.Context) error {
@@ -148,9 +174,27 @@
 		defer s.conn.SetReadDeadline(time.Unix(1, 0)) // ends the reader
 		return s.play(inner, steps)
 	})
-	return group.Wait()
+	err := group.Wait()
+	if s.spoke {
+		s.linger()
+	}
+	return err
 }
 
+// linger lets the client read the last word: closed at once, with bytes unread, the connection would be reset.
+func (s *session) linger() {
+	if c, ok := s.conn.(*net.TCPConn); ok && c.CloseWrite() == nil {
+		c.SetReadDeadline(time.Now().Add(lingerFor))
+		io.Copy(io.Discard, io.LimitReader(c, lingerMost))
+	}
+}
+
+// Bounds of what is read and thrown away behind the last word.
+const (
+	lingerFor  = 500 * time.Millisecond
+	lingerMost = 64 << 20
+)
+
 // shake takes the client's Hello and answers it.
 func (s *session) shake() (err error) {
 	s.conn.SetReadDeadline(time.Now().Add(s.front.opt.HelloWithin))
@@ -162,8 +206,14 @@
 		s.refuse(516, s.hello.User+": Authentication failed: name or password is wrong") // AUTHENTICATION_FAILED
 		return errors.New("name or password is wrong")
 	}
-	s.revision = min(s.hello.Revision, native.Newest)
-	if err = s.write(native.Server{Name: "embershunt", Major: 1, Revision: native.Newest, Timezone: "UTC", DisplayName: "embershunt"}.Encode()); err != nil {
+	newest := native.Newest
+	if s.front.opt.Revision != nil {
+		if r := s.front.opt.Revision(); r >= native.Oldest {
+			newest = min(newest, r)
+		}
+	}
+	s.revision = min(s.hello.Revision, newest)
+	if err = s.write(native.Server{Name: "embershunt", Major: 1, Revision: newest, Timezone: "UTC", DisplayName: "embershunt"}.Encode()); err != nil {
 		return err
 	}
 	if err = s.r.ReadAddendum(s.revision); err != nil {
@@ -179,7 +229,9 @@
 	return err
 }
 
+// refuse writes an Exception of the front's own.
 func (s *session) refuse(code int32, text string) {
+	s.spoke = true
 	s.write((&native.Exception{Code: code, Name: "DB::Exception", Message: "DB::Exception: " + text}).Encode())
 }
 
@@ -191,12 +243,19 @@
 		if st.code, st.err = s.r.ReadClient(); st.err == nil {
 			switch st.code {
 			case native.ClientQuery:
-				if st.query, st.err = s.r.ReadQuery(s.revision); st.err == nil && !st.query.Compression {
-					st.err = s.noTables()
+				if st.query, st.err = s.r.ReadQuery(s.revision); st.err == nil {
+					s.r.Packed = st.query.Compression
+					st.tables, st.err = s.tables()
+				}
+			case native.ClientData:
+				if _, st.block, st.err = s.r.ReadClientData(s.revision); st.err == nil {
+					if st.err = s.holds(len(s.r.Raw())); st.err == nil {
+						st.data = bytes.Clone(s.r.Raw())
+					}
 				}
 			case native.ClientPing, native.ClientCancel:
 			default:
-				st.err = fmt.Errorf("packet %d has no place here: external tables and the data of INSERT are not served", st.code)
+				st.err = fmt.Errorf("packet %d has no place here", st.code)
 			}
 		}
 		select {
@@ -204,30 +263,44 @@
 		case <-ctx.Done():
 			return nil
 		}
-		if st.err != nil || st.query.Compression {
+		if st.err != nil {
 			return nil
 		}
 	}
 }
 
-// noTables reads the empty block behind a query.
-func (s *session) noTables() error {
-	code, err := s.r.ReadClient()
-	if err != nil {
-		return err
-	}
-	if code != native.ClientData {
-		return fmt.Errorf("packet %d behind a query: wanted is 2 (Data)", code)
-	}
-	b, err := s.r.ReadClientData(s.revision)
-	if err == nil && !b.End() {
-		err = errors.New("external tables are not served")
+// holds asks for room for what is read, and gives all of it back once the query is over.
+func (s *session) holds(n int) error { return s.front.store.grow(&s.held, n) }
+
+// tables reads the external tables behind a query and the empty block that ends them.
+func (s *session) tables() ([]byte, error) {
+	var out []byte
+	for {
+		code, err := s.r.ReadClient()
+		if err != nil {
+			return nil, err
+		}
+		if code != native.ClientData {
+			return nil, fmt.Errorf("packet %d behind a query: wanted is 2 (Data)", code)
+		}
+		_, b, err := s.r.ReadClientData(s.revision)
+		if err != nil {
+			return nil, err
+		}
+		if !b.End() || len(out) > 0 { // the empty block alone is no matter of room
+			if err := s.holds(len(s.r.Raw())); err != nil {
+				return nil, err
+			}
+		}
+		if out = append(out, s.r.Raw()...); b.End() {
+			return out, nil
+		}
 	}
-	return err
 }
 
 // play answers what the reader saw, one query at a time.
 func (s *session) play(ctx context.Context, steps <-chan step) error {
+	defer s.front.store.release(&s.held)
 	for {
 		st, ok := <-steps
 		if !ok {
@@ -238,49 +311,88 @@
 			return nil
 		case st.err != nil:
 			if ctx.Err() == nil {
-				s.refuse(101, st.err.Error())
+				s.refuseFor(st.err)
 			}
 			return st.err
 		case st.code == native.ClientPing:
 			if err := s.write([]byte{native.ServerPong}); err != nil {
 				return err
 			}
+		case st.code == native.ClientData:
+			s.refuse(101, "rows that no INSERT waits for")
+			return errUnasked
 		case st.code == native.ClientQuery:
-			if st.query.Compression {
-				s.refuse(48, "compressed blocks are not served yet: connect without compression") // NOT_IMPLEMENTED
-				return nil
-			}
-			if err := s.query(ctx, st.query, steps); err != nil {
+			err := s.query(ctx, st, steps)
+			s.front.store.release(&s.held)
+			if err != nil {
 				return err
 			}
 		}
 	}
 }
 
-// query runs one query to its final answer.
-func (s *session) query(ctx context.Context, q native.Query, steps <-chan step) error {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	s.mu.Lock()
-	s.over, s.partial = false, false
-	s.mu.Unlock()
-	if needsData(q.Text) {
-		s.refuse(48, "INSERT with data from the client is not served yet")
-		return nil
+var errUnasked = errors.New("rows that no INSERT waits for")
+
+// refuseFor answers what could not be read, or not be held.
+func (s *session) refuseFor(err error) {
+	var room *dispatch.RoomError
+	switch {
+	case errors.As(err, &room) && room.Large:
+		s.refuse(241, "refused (QUERY_TOO_LARGE): "+room.Error()) // MEMORY_LIMIT_EXCEEDED
+	case errors.As(err, &room):
+		s.refuse(202, fmt.Sprintf("refused (%s): %v; trying again does no harm, come back in %d ms", dispatch.ReasonFull, room,
+			max(room.ComeBack/1000, 50)))
+	default:
+		s.refuse(101, err.Error())
 	}
-	call := front.Call{Speaks: nodelist.ClickHouse, Work: &native.Call{Query: q, Revision: s.revision, Database: s.hello.Database, Sink: s}}
+}
+
+// call is a query as the desk takes it.
+func (s *session) call(st step) front.Call {
+	q := st.query
 	settings := map[string]string{}
 	for _, set := range q.Settings {
 		settings[set.Name] = set.Value
 	}
-	call.Facts = classify.Facts{User: s.hello.User, Statement: q.Text, Command: "native.Query",
+	c := front.Call{Speaks: nodelist.ClickHouse, Work: &native.Call{Query: q, Revision: s.revision, Database: s.hello.Database,
+		Tables: st.tables, Sink: s}}
+	c.Facts = classify.Facts{User: s.hello.User, Statement: q.Text, Command: "native.Query", Token: settings["insert_deduplication_token"],
 		Header: func(string) string { return "" }, Option: func(name string) string { return settings[name] }}
 	if v, err := strconv.ParseFloat(settings["max_execution_time"], 64); err == nil && v > 0 {
-		call.Left = time.Duration(v * float64(time.Second))
+		c.Left = time.Duration(v * float64(time.Second))
 	}
 	if v, err := strconv.ParseFloat(settings["max_memory_usage"], 64); err == nil && v > 0 {
-		call.MB = v / 1e6
+		c.MB = v / 1e6
 	}
+	return c
+}
+
+// query runs one query to its final answer.
+func (s *session) query(ctx context.Context, st step, steps <-chan step) error {
+	s.mu.Lock()
+	s.over, s.partial = false, false
+	s.mu.Unlock()
+	call := s.call(st)
+	if classify.InsertsClientData(st.query.Text) {
+		return s.insert(ctx, call, steps)
+	}
+	v, how, err := s.ask(ctx, call, steps)
+	return s.close(v, how, err)
+}
+
+// ending tells how asking ended.
+type ending int
+
+const (
+	answered  ending = iota
+	cancelled        // the client called it off and stays
+	gone             // the client is gone, or is to go
+)
+
+// ask hands a call over and waits for its final answer; meanwhile it heeds what the client sends.
+func (s *session) ask(ctx context.Context, call front.Call, steps <-chan step) (v dispatch.Verdict, how ending, err error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	type answer struct {
 		v   dispatch.Verdict
 		err error
@@ -293,39 +405,50 @@
 		done <- answer{v, err}
 		return nil
 	})
+	off := func(how ending, err error) (dispatch.Verdict, ending, error) {
+		cancel()
+		return (<-done).v, how, err
+	}
 	for {
 		select {
 		case a := <-done:
-			if a.err != nil {
-				s.refuse(36, a.err.Error()) // BAD_ARGUMENTS
-				return nil
-			}
-			return s.finish(a.v)
+			return a.v, answered, a.err
 		case st, ok := <-steps:
 			switch {
-			case !ok || st.err != nil:
-				cancel()
-				<-done
-				if ok {
-					return st.err
-				}
-				return nil
+			case !ok:
+				return off(gone, nil)
+			case st.err != nil:
+				return off(gone, st.err)
 			case st.code == native.ClientCancel:
-				cancel()
-				<-done
-				s.end()
-				return s.write([]byte{native.ServerEndOfStream})
-			case st.code == native.ClientPing:
-				continue // answered by what follows
+				return off(cancelled, nil)
+			case st.code == native.ClientPing: // answered by what follows
 			default:
-				cancel()
-				<-done
-				return fmt.Errorf("packet %d while a query runs", st.code)
+				return off(gone, fmt.Errorf("packet %d while a query runs", st.code))
 			}
 		}
 	}
 }
 
+// close writes the end of an answer. An error ends the connection.
+func (s *session) close(v dispatch.Verdict, how ending, err error) error {
+	switch {
+	case how == gone:
+		return err
+	case how == cancelled:
+		s.end()
+		if s.partial {
+			return errPartial
+		}
+		return s.write([]byte{native.ServerEndOfStream})
+	case err != nil:
+		s.refuse(36, err.Error()) // BAD_ARGUMENTS
+		return nil
+	}
+	return s.finish(v)
+}
+
+var errPartial = errors.New("a packet was broken off: the connection cannot go on")
+
 // Packet implements native.Sink.
 func (s *session) Packet(p native.Packet) error {
 	s.mu.Lock()
@@ -354,7 +477,7 @@
 func (s *session) finish(v dispatch.Verdict) error {
 	s.end()
 	if s.partial {
-		return errors.New("a packet was broken off: the connection cannot go on")
+		return errPartial
 	}
 	if v.Final == dispatch.Served {
 		return s.write([]byte{native.ServerEndOfStream})
@@ -385,7 +508,3 @@
 	}
 	return &native.Exception{Code: codes[v.Reason], Name: "DB::Exception", Message: text}
 }
-
-// needsData tells an INSERT whose rows come from the client: one without VALUES, SELECT or FROM INFILE behind it is one,
-// and so is one with VALUES alone.
-func needsData(statement string) bool { return classify.InsertsClientData(statement) }
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -50,7 +50,7 @@
 type Front struct {
 	opt     Options
 	desk    *front.Desk
-	schemas *schemaCache
+	schemas *front.Cache
 
 	mu      sync.Mutex
 	running map[string]map[string]bool // ids of running queries by their ticket's serial number
@@ -59,7 +59,7 @@
 // New returns a front that hands its queries over at a desk.
 func New(o Options, d *front.Desk) *Front {
 	o.defaults()
-	return &Front{opt: o, desk: d, schemas: newSchemaCache(o.SchemaMost, o.SchemaLife), running: map[string]map[string]bool{}}
+	return &Front{opt: o, desk: d, schemas: front.NewCache(o.SchemaMost, o.SchemaLife), running: map[string]map[string]bool{}}
 }
 
 // ServerOptions are what a gRPC server needs for this front. Messages are read whole, so their size is bounded: a
--- a/front/flightsql/statement.go
+++ b/front/flightsql/statement.go
@@ -339,7 +339,7 @@
 // tells may depend on it.
 func (f *Front) cached(c *caller, key string, w work) ([]byte, error) {
 	key = c.user + "\x00" + key + string(w.call.Command)
-	if b, ok := f.schemas.get(key, time.Now()); ok {
+	if b, ok := f.schemas.Get(key, time.Now()); ok {
 		return b, nil
 	}
 	v, err := f.ask(c, w)
@@ -350,6 +350,6 @@
 		return nil, verdictError(v)
 	}
 	b := v.Result.([]byte)
-	f.schemas.put(key, b, time.Now())
+	f.schemas.Put(key, b, time.Now())
 	return b, nil
 }
--- a/front/front.go
+++ b/front/front.go
@@ -73,6 +73,23 @@
 	Taken  func(id string)
 }
 
+func (c *Call) left(t *Tables, traits classify.Traits) time.Duration {
+	if c.Left > 0 {
+		return c.Left
+	}
+	return t.Deadlines[traits.Class]
+}
+
+// Deadline is how long a call has from now on. The error is classify's.
+func (d *Desk) Deadline(c Call) (time.Duration, error) {
+	tables := d.Tables()
+	traits, err := tables.Classes.Classify(c.Facts)
+	if err != nil {
+		return 0, err
+	}
+	return c.left(tables, traits), nil
+}
+
 // asked is one query that waits for its final answer.
 type asked struct{ done chan dispatch.Verdict }
 
@@ -90,10 +107,7 @@
 	if !traits.Hinted && traits.Rule == "" {
 		d.unruled.Add(1)
 	}
-	now, left := d.clock.Now(), c.Left
-	if left == 0 {
-		left = tables.Deadlines[traits.Class]
-	}
+	now, left := d.clock.Now(), c.left(tables, traits)
 	left -= min(tables.WayBack, left/10)
 	if traits.MemoryMB == 0 {
 		traits.MemoryMB = c.MB
--- a/internal/native/call.go
+++ b/internal/native/call.go
@@ -6,8 +6,11 @@
 
 // Call is one query as both the front and the fleet know it.
 type Call struct {
-	Query    Query // without compression and external tables
-	Revision int   // of the client's side; the node is asked at the same
+	Query    Query
+	Revision int // of the client's side; the node is asked at the same
 	Database string
+	Tables   []byte   // external tables and the empty block behind them, as the client sent them
+	Data     [][]byte // rows of an INSERT and the empty block behind them, likewise; nil: the statement takes none
+	Sample   bool     // only the columns that an INSERT takes are wanted: nothing runs
 	Sink     Sink
 }
--- a/internal/native/column.go
+++ b/internal/native/column.go
@@ -9,6 +9,7 @@
 
 // column is how a column's bytes are laid out: enough to find its end, not to read it.
 type column struct {
+	name  string // of the type, at the top
 	kind  layout
 	width uint64 // of fixed ones
 	of    []column
@@ -270,10 +271,19 @@
 
 // block reads a block: info, columns, rows, then each column.
 func (r *Reader) block(revision int) (b Block, err error) {
+	err = r.walk(revision, func(rows int) { b.Rows = rows }, func(string, column, []byte) error {
+		b.Columns++
+		return nil
+	})
+	return b, err
+}
+
+// walk reads a block and shows its rows, then each column with its values' bytes, which are valid until the next read.
+func (r *Reader) walk(revision int, head func(rows int), show func(name string, c column, values []byte) error) error {
 	for {
 		field, err := r.uvarint("field of block info")
 		if err != nil {
-			return b, err
+			return err
 		}
 		if field == 0 {
 			break
@@ -287,45 +297,53 @@
 			err = r.wrong("field of block info", fmt.Sprint(field), "0, 1 and 2")
 		}
 		if err != nil {
-			return b, err
+			return err
 		}
 	}
-	if b.Columns, err = r.count("columns", columns); err != nil {
-		return b, err
+	n, err := r.count("columns", columns)
+	if err != nil {
+		return err
 	}
-	if b.Rows, err = r.count("rows", uint64(r.most)); err != nil {
-		return b, err
+	rows, err := r.count("rows", uint64(r.most))
+	if err != nil {
+		return err
 	}
-	for range b.Columns {
-		if _, err = r.text("name of a column", nameMost); err != nil {
-			return b, err
+	head(rows)
+	for range n {
+		name, err := r.text("name of a column", nameMost)
+		if err != nil {
+			return err
 		}
-		name, err := r.text("type of a column", nameMost)
+		kind, err := r.text("type of a column", nameMost)
 		if err != nil {
-			return b, err
+			return err
 		}
 		if revision >= revSerialKind {
-			kind, err := r.byte("serialization")
+			special, err := r.byte("serialization")
 			if err != nil {
-				return b, err
+				return err
 			}
-			if kind != 0 {
-				return b, r.wrong("serialization", fmt.Sprint(kind), "0: others change with the data")
+			if special != 0 {
+				return r.wrong("serialization", fmt.Sprint(special), "0: others change with the data")
 			}
 		}
-		c, err := parseType(name, 0)
+		c, err := parseType(kind, 0)
 		if err != nil {
-			return b, r.wrong("type of a column", err.Error(), "a type of docs/design-native.md")
+			return r.wrong("type of a column", err.Error(), "a type of docs/design-native.md")
 		}
-		if b.Rows == 0 {
-			continue
-		}
-		if err := r.prefix(c); err != nil {
-			return b, err
+		c.name = kind
+		at := len(r.raw)
+		if rows > 0 {
+			if err := r.prefix(c); err != nil {
+				return err
+			}
+			if err := r.values(c, uint64(rows)); err != nil {
+				return err
+			}
 		}
-		if err := r.values(c, uint64(b.Rows)); err != nil {
-			return b, err
+		if err := show(name, c, r.raw[at:]); err != nil {
+			return err
 		}
 	}
-	return b, nil
+	return nil
 }
--- a/internal/native/packet.go
+++ b/internal/native/packet.go
@@ -382,7 +382,7 @@
 	Exception *Exception
 }
 
-// ReadServer reads the next packet of a server that was asked without compression.
+// ReadServer reads the next packet of a server.
 func (r *Reader) ReadServer(revision int) (p Packet, err error) {
 	r.begin("server's packet")
 	if p.Code, err = r.uvarint("packet"); err != nil {
@@ -396,7 +396,11 @@
 		r.packet = "Data"
 		if _, err = r.text("table", nameMost); err == nil {
 			p.Body = len(r.raw)
-			p.Block, err = r.block(revision)
+			if p.Code == ServerLog || p.Code == ServerProfileEvents {
+				p.Block, err = r.block(revision)
+			} else {
+				p.Block, err = r.content(revision)
+			}
 		}
 	case ServerException:
 		r.packet = "Exception"
@@ -446,11 +450,12 @@
 	return code, err
 }
 
-// ReadClientData reads a client's Data packet behind its code, uncompressed.
-func (r *Reader) ReadClientData(revision int) (Block, error) {
+// ReadClientData reads a client's Data packet behind its code; Raw has its bytes.
+func (r *Reader) ReadClientData(revision int) (table string, b Block, err error) {
 	r.packet = "client's Data"
-	if _, err := r.text("table", nameMost); err != nil {
-		return Block{}, err
+	if table, err = r.text("table", nameMost); err != nil {
+		return table, b, err
 	}
-	return r.block(revision)
+	b, err = r.content(revision)
+	return table, b, err
 }
--- a/internal/native/reader.go
+++ b/internal/native/reader.go
@@ -76,6 +76,12 @@
 	raw    []byte
 	most   int
 	packet string
+
+	// Packed tells that the blocks of the present query are compressed. Those of logs and profile events never are, at the
+	// revisions served here.
+	Packed bool
+	frames *frames
+	inner  *Reader // reads what the frames hold
 }
 
 // NewReader returns a Reader; a packet of more than most bytes is an error.
--- a/standin/flight.go
+++ b/standin/flight.go
@@ -119,7 +119,7 @@
 func (s *flightServer) query(ctx context.Context, text string) (*arrow.Schema, <-chan flight.StreamChunk, error) {
 	h := parseHints(text)
 	seen := s.node.note(ctx, text, false)
-	if err := s.node.work(ctx, s.life, seen, h); err != nil {
+	if err := s.node.work(ctx, s.life, seen, h, nil); err != nil {
 		return nil, nil, err
 	}
 	out := make(chan flight.StreamChunk)
@@ -186,7 +186,7 @@
 
 func (s *flightServer) update(ctx context.Context, text string) (int64, error) {
 	h := parseHints(text)
-	return int64(h.rows), s.node.work(ctx, s.life, s.node.note(ctx, text, true), h)
+	return int64(h.rows), s.node.work(ctx, s.life, s.node.note(ctx, text, true), h, nil)
 }
 
 // CreatePreparedStatement gives a handle that holds the statement itself.
--- a/standin/machine.go
+++ b/standin/machine.go
@@ -35,7 +35,8 @@
 
 // job is one query on the machine.
 type job struct {
-	id       string // of the query, for changes of priority
+	id       string  // of the query, for changes of priority
+	work     float64 // in all
 	left     float64
 	threads  float64
 	priority int
@@ -166,6 +167,7 @@
 		if need > j.granted {
 			j.left *= 1 + m.model.Spill*(1-j.granted/need)
 		}
+		j.work = j.left
 		m.jobs = append(m.jobs, j)
 	})
 	return j, func() {
@@ -173,6 +175,12 @@
 	}
 }
 
+// done is the share of a job's work that is done.
+func (m *machine) done(j *job) (share float64) {
+	m.do(func() { share = 1 - j.left/max(j.work, 1e-9) })
+	return share
+}
+
 // load is a report: busy share of the cores, jobs in hand, granted share of memory.
 func (m *machine) load() (util, inflight, memory float64) {
 	m.mu.Lock()
--- a/standin/native.go
+++ b/standin/native.go
@@ -3,16 +3,18 @@
 import (
 	"bufio"
 	"context"
-	"errors"
 	"net"
 	"strconv"
 	"strings"
+	"time"
 
+	"github.com/ClickHouse/ch-go/compress"
 	"github.com/ClickHouse/ch-go/proto"
 	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
+	"embershunt/classify"
 	"embershunt/internal/native"
 )
 
@@ -41,6 +43,7 @@
 	conn     net.Conn
 	w        *bufio.Writer
 	revision int
+	packing  *compress.Writer // nil: blocks are not compressed
 }
 
 func (s *nativeServer) serve(ctx context.Context) {
@@ -49,8 +52,12 @@
 	if err != nil {
 		return
 	}
-	s.revision = min(h.Revision, native.Newest)
-	s.w.Write(native.Server{Name: "standin", Major: 1, Revision: native.Newest, Timezone: "UTC", DisplayName: s.node.Name}.Encode())
+	newest := s.node.Revision
+	if newest == 0 {
+		newest = native.Newest
+	}
+	s.revision = min(h.Revision, newest)
+	s.w.Write(native.Server{Name: "standin", Major: 1, Revision: newest, Timezone: "UTC", DisplayName: s.node.Name}.Encode())
 	if s.w.Flush() != nil || r.ReadAddendum(s.revision) != nil {
 		return
 	}
@@ -76,6 +83,7 @@
 type clientPacket struct {
 	code  uint64
 	query native.Query
+	block native.Block
 }
 
 // read hands the client's packets over until one cannot be read.
@@ -87,17 +95,27 @@
 			return
 		}
 		p := clientPacket{code: code}
-		if code == native.ClientQuery {
+		switch code {
+		case native.ClientQuery:
 			if p.query, err = r.ReadQuery(s.revision); err != nil {
 				return
 			}
+			r.Packed = p.query.Compression
 			for b := (native.Block{Rows: 1}); !b.End(); {
 				if code, err = r.ReadClient(); err != nil || code != native.ClientData {
 					return
 				}
-				if b, err = r.ReadClientData(s.revision); err != nil {
+				table := ""
+				if table, b, err = r.ReadClientData(s.revision); err != nil {
 					return
 				}
+				if !b.End() {
+					p.query.Settings = append(p.query.Settings, native.Setting{Name: "standin_table_" + table, Value: strconv.Itoa(b.Rows)})
+				}
+			}
+		case native.ClientData:
+			if _, p.block, err = r.ReadClientData(s.revision); err != nil {
+				return
 			}
 		}
 		select {
@@ -112,8 +130,39 @@
 func (s *nativeServer) query(ctx context.Context, packets <-chan clientPacket, q native.Query) bool {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	s.packing = nil
+	if q.Compression {
+		method := compress.LZ4
+		switch setting(q, "network_compression_method") {
+		case "ZSTD":
+			method = compress.ZSTD
+		case "NONE":
+			method = compress.None
+		}
+		s.packing = compress.NewWriter(0, method)
+	}
+	ctx, seen := s.begin(ctx, q)
+	rows := 0
+	if classify.InsertsClientData(q.Text) {
+		if s.node.faults().Hang {
+			for range packets { // it neither answers nor leaves
+			}
+			return false
+		}
+		if s.block(proto.Input{{Name: "id", Data: new(proto.ColUInt64)}, {Name: "name", Data: new(proto.ColStr)}}, 0) != nil || s.w.Flush() != nil {
+			return false
+		}
+		for more := true; more; {
+			p, ok := <-packets
+			if !ok || p.code != native.ClientData {
+				return false
+			}
+			rows += p.block.Rows
+			more = !p.block.End()
+		}
+	}
 	answered := make(chan bool, 1)
-	go func() { answered <- s.answer(ctx, q) }()
+	go func() { answered <- s.answer(ctx, q, seen, rows) }()
 	select {
 	case ok := <-answered:
 		return ok
@@ -124,28 +173,94 @@
 	}
 }
 
-func (s *nativeServer) answer(ctx context.Context, q native.Query) bool {
+func setting(q native.Query, name string) string {
+	for _, s := range q.Settings {
+		if s.Name == name {
+			return s.Value
+		}
+	}
+	return ""
+}
+
+// begin books an attempt by its query id and settings.
+func (s *nativeServer) begin(ctx context.Context, q native.Query) (context.Context, *Seen) {
 	id, number := q.ID, "0"
 	if i := strings.LastIndexByte(id, '-'); i > 0 {
 		id, number = id[:i], id[i+1:]
 	}
 	md := metadata.MD{"embershunt-query": {id}, "embershunt-attempt": {number}}
-	for _, set := range q.Settings {
-		switch set.Name {
-		case "priority":
-			if p, err := strconv.Atoi(set.Value); err == nil {
-				md.Set("embershunt-priority", strconv.Itoa(4-p))
-			}
-		case "max_memory_usage":
-			if b, err := strconv.ParseFloat(set.Value, 64); err == nil {
-				md.Set("embershunt-memory-mb", strconv.FormatFloat(b/1e6, 'f', 0, 64))
+	if p, err := strconv.Atoi(setting(q, "priority")); err == nil {
+		md.Set("embershunt-priority", strconv.Itoa(4-p))
+	}
+	if b, err := strconv.ParseFloat(setting(q, "max_memory_usage"), 64); err == nil {
+		md.Set("embershunt-memory-mb", strconv.FormatFloat(b/1e6, 'f', 0, 64))
+	}
+	ctx = metadata.NewIncomingContext(ctx, md)
+	seen := s.node.note(ctx, q.Text, isUpdate(q.Text))
+	s.node.mark(func() {
+		seen.Token = setting(q, "insert_deduplication_token")
+		for _, set := range q.Settings {
+			if name, ok := strings.CutPrefix(set.Name, "standin_table_"); ok {
+				seen.Tables = append(seen.Tables, name+":"+set.Value)
 			}
 		}
+	})
+	return ctx, seen
+}
+
+// progress writes how many of the rows are read.
+func (s *nativeServer) progress(rows, total int) {
+	s.w.Write(native.PutUvarint([]byte{native.ServerProgress}, uint64(rows)))
+	s.w.Write(native.PutUvarint([]byte{0}, uint64(total)))
+	s.w.Write([]byte{0, 0})
+	if s.revision >= native.Newest {
+		s.w.Write([]byte{0})
+	}
+	s.w.Flush()
+}
+
+// profile writes what the query cost.
+func (s *nativeServer) profile(h hints) {
+	var host proto.ColStr
+	var at proto.ColDateTime
+	var thread proto.ColUInt64
+	var kind proto.ColEnum8
+	var name proto.ColStr
+	var value proto.ColInt64
+	for event, v := range map[string]int64{"OSCPUVirtualTimeMicroseconds": h.work.Microseconds(), "MemoryTrackerPeakUsage": int64(h.memory * 1e6)} {
+		host.Append(s.node.Name)
+		at.Append(time.Now())
+		thread.Append(0)
+		if kind = append(kind, 1); event == "MemoryTrackerPeakUsage" {
+			kind[len(kind)-1] = 2
+		}
+		name.Append(event)
+		value.Append(v)
 	}
-	ctx = metadata.NewIncomingContext(ctx, md)
+	input := proto.Input{{Name: "host_name", Data: &host}, {Name: "current_time", Data: &at}, {Name: "thread_id", Data: &thread},
+		{Name: "type", Data: proto.Alias(&kind, "Enum8('increment' = 1, 'gauge' = 2)")}, {Name: "name", Data: &name}, {Name: "value", Data: &value}}
+	var b proto.Buffer
+	b.PutUVarInt(native.ServerProfileEvents)
+	b.PutString("")
+	if (proto.Block{Rows: 2, Columns: len(input), Info: proto.BlockInfo{BucketNum: -1}}).EncodeBlock(&b, s.revision, input) == nil {
+		s.w.Write(b.Buf)
+	}
+}
+
+func (s *nativeServer) answer(ctx context.Context, q native.Query, seen *Seen, brought int) bool {
 	h := parseHints(q.Text)
-	seen := s.node.note(ctx, q.Text, isUpdate(q.Text))
-	if err := s.node.work(ctx, s.life, seen, h); err != nil {
+	const scanned = 1000
+	told := 0
+	if err := s.node.work(ctx, s.life, seen, h, func(share float64) {
+		if read := int(share * scanned); read > told {
+			total := 0
+			if told == 0 {
+				total = scanned
+			}
+			s.progress(read-told, total)
+			told = read
+		}
+	}); err != nil {
 		if ctx.Err() != nil {
 			return false
 		}
@@ -159,12 +274,10 @@
 		s.w.Write(e.Encode())
 		return true
 	}
-	s.w.Write(native.PutUvarint([]byte{native.ServerProgress}, uint64(h.rows)))
-	s.w.Write([]byte{0, 0, 0, 0})
-	if s.revision >= native.Newest {
-		s.w.Write([]byte{0})
-	}
+	s.progress(scanned-told, 0)
+	s.profile(h)
 	if isUpdate(q.Text) {
+		s.node.mark(func() { seen.Rows = brought })
 		s.w.Write([]byte{native.ServerEndOfStream})
 		return true
 	}
@@ -190,6 +303,10 @@
 			s.w.Flush()
 			return false
 		}
+		if f.Broken && sent > 0 { // an error behind rows
+			s.w.Write((&native.Exception{Code: 241, Name: "DB::Exception", Message: "DB::Exception: memory limit"}).Encode())
+			return true
+		}
 		if err := s.rows(sent, rows, h); err != nil || ctx.Err() != nil {
 			return false
 		}
@@ -214,13 +331,23 @@
 	if h.bytes > 0 {
 		input = append(input, proto.InputColumn{Name: "payload", Data: payload})
 	}
+	return s.block(input, n)
+}
+
+// block writes a Data packet, compressed where the client asked for that.
+func (s *nativeServer) block(input proto.Input, rows int) error {
 	var b proto.Buffer
-	b.PutUVarInt(native.ServerData)
-	b.PutString("")
-	err := (proto.Block{Rows: n, Columns: len(input), Info: proto.BlockInfo{BucketNum: -1}}).EncodeBlock(&b, s.revision, input)
-	if err != nil && !errors.Is(err, context.Canceled) {
+	if err := (proto.Block{Rows: rows, Columns: len(input), Info: proto.BlockInfo{BucketNum: -1}}).EncodeBlock(&b, s.revision, input); err != nil {
 		return err
 	}
-	_, err = s.w.Write(b.Buf)
+	s.w.Write([]byte{native.ServerData, 0})
+	content := b.Buf
+	if s.packing != nil {
+		if err := s.packing.Compress(content); err != nil {
+			return err
+		}
+		content = s.packing.Data
+	}
+	_, err := s.w.Write(content)
 	return err
 }
--- a/standin/node.go
+++ b/standin/node.go
@@ -33,6 +33,7 @@
 	PauseFor  time.Duration // stands still for this long ...
 	PauseEach time.Duration // ... this often
 	Full      bool          // turns queries away unseen
+	Broken    bool          // breaks off an answer behind its first rows with an error (native)
 }
 
 // Seen is one attempt as a node saw it.
@@ -44,8 +45,11 @@
 	Statement string
 	Update    bool
 	Ran       bool // its work was done
-	Rows      int  // handed to the transport
-	Cancelled bool // the caller left before the end
+	Rows      int  // handed to the transport, or brought by an INSERT
+	Dropped   bool // known by its token as a repeat: it did nothing
+	Token     string
+	Tables    []string // external tables and their rows, as name:rows
+	Cancelled bool     // the caller left before the end
 	End       time.Time
 }
 
@@ -54,6 +58,10 @@
 	Name    string
 	Address string // set by Start
 	Native  string // set by Start: where the ClickHouse native protocol is served
+	// Revision is the newest of the native protocol that it speaks; 0: the newest there is.
+	Revision int
+	// Tokens is shared by the nodes that drop each other's repeats of an INSERT; nil: it drops none.
+	Tokens *Tokens
 
 	model Model
 	mu    sync.Mutex
@@ -295,8 +303,33 @@
 	}
 }
 
-// work runs a statement on the machine, or does what the faults say.
-func (n *Node) work(ctx context.Context, v *life, s *Seen, h hints) error {
+// Tokens are the deduplication tokens that a group of nodes remembers.
+type Tokens struct {
+	mu     sync.Mutex
+	window time.Duration
+	known  map[string]time.Time
+}
+
+// NewTokens remembers each token for a while.
+func NewTokens(window time.Duration) *Tokens {
+	return &Tokens{window: window, known: map[string]time.Time{}}
+}
+
+// take books a token; false where it is known already.
+func (t *Tokens) take(token string) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	now := time.Now()
+	at, ok := t.known[token]
+	if ok && now.Sub(at) < t.window {
+		return false
+	}
+	t.known[token] = now
+	return true
+}
+
+// work runs a statement on the machine, or does what the faults say; note is told of the share done now and then.
+func (n *Node) work(ctx context.Context, v *life, s *Seen, h hints, note func(share float64)) error {
 	defer func() { n.mark(func() { s.End = time.Now() }) }()
 	f := n.faults()
 	n.mu.Lock()
@@ -327,14 +360,26 @@
 	}
 	j, remove := v.machine.run(s.Query, h.work.Seconds(), h.threads, h.memory, number("embershunt-memory-mb", 0),
 		int(number("embershunt-priority", 1)))
-	select {
-	case <-j.done:
-	case <-ctx.Done():
-		remove()
-		n.mark(func() { s.Cancelled = true })
-		return ctx.Err()
+	var tick <-chan time.Time
+	if note != nil {
+		t := time.NewTicker(50 * time.Millisecond)
+		defer t.Stop()
+		tick = t.C
+	}
+	for done := false; !done; {
+		select {
+		case <-j.done:
+			done = true
+		case <-tick:
+			note(v.machine.done(j))
+		case <-ctx.Done():
+			remove()
+			n.mark(func() { s.Cancelled = true })
+			return ctx.Err()
+		}
 	}
-	n.mark(func() { s.Ran = true })
+	fresh := n.Tokens == nil || s.Token == "" || n.Tokens.take(s.Token)
+	n.mark(func() { s.Ran, s.Dropped = fresh, !fresh })
 	if n.faults().Lost {
 		<-ctx.Done()
 		return ctx.Err()
