A progress note proven wrong holds no attempt; native nodes at every place of an answer

Need: a node that told it was done and then fell silent kept its query until the deadline, since the module trusted the note for good. Nodes without a gRPC address were probed over gRPC and never heard. A Ping probes nodes of the native protocol alone. Tests with a node played byte by byte: stalls and cuts behind Progress, in a varint, in a block, behind rows, enormous lengths, unknown packets, nested Exceptions; HTTP and garbage at the port; old and new revisions; 2,000 idle connections (10,000 with -many=140).

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -883,7 +883,7 @@
 	expect := max(q.est/c.threads*math.Exp(max(a.e.slow, g.crowd.v, c.ratio.v, 0)), q.seen)
 	left := float64(q.Due-g.guard()-g.now) / micros
 	took, bad := age, age > max(silentTimes, math.Exp(strayTimes*c.stray))*expect
-	if a.total > 0 {
+	if a.total > 0 && age <= silentTimes*a.total { // a note that time has proven wrong holds no longer
 		took, bad = a.total, a.total > silentTimes*expect && a.total-age > planGain*expect
 		if !bad && a.total-age > planGain*left && g.set.CanCancel { // at its pace it earns nothing any more
 			g.giveUp(q)
--- a/choice/failures_test.go
+++ b/choice/failures_test.go
@@ -99,6 +99,20 @@
 	}
 }
 
+// A note tells that an attempt is nearly done, and then nothing comes: it is called off as one without notes is.
+func TestANoteProvenWrongDoesNotHold(t *testing.T) {
+	b := newBench(t, testSettings(), 2)
+	s := only[Send](b.step(b.request(0)))[0]
+	b.now += 20000
+	b.step(Progress{ID: s.ID, Engine: s.Engine, Kind: ShareDone, Value: 1})
+	for _, e := range b.g.engines {
+		e.heard = b.now + 1 // answers of others keep coming
+	}
+	if acts := b.until(b.now + 6*sec/10); len(only[Cancel](acts)) == 0 {
+		t.Error("not called off")
+	}
+}
+
 // Estimates scatter tenfold; the fit must not take that for the work itself.
 func TestWideEstimatesAreShrunk(t *testing.T) {
 	var f fit
--- /dev/null
+++ b/dispatcher/rawnode_test.go
@@ -0,0 +1,267 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+
+	"github.com/ClickHouse/ch-go"
+
+	"embershunt/internal/native"
+	"embershunt/standin"
+)
+
+// rawNode is a node of the native protocol that a test plays byte by byte.
+type rawNode struct {
+	address string
+	mu      sync.Mutex
+	asked   int // queries
+	opened  int // connections
+}
+
+// queries counts what it was asked.
+func (n *rawNode) queries() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.asked
+}
+
+// startRawNode answers each query with what answer writes; the connection is kept up after it where hold says so.
+func startRawNode(t testing.TB, revision int, answer func(w io.Writer), hold bool) *rawNode {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	n := &rawNode{address: l.Addr().String()}
+	var group sync.WaitGroup
+	over := make(chan struct{})
+	t.Cleanup(func() { l.Close(); close(over); group.Wait() })
+	group.Add(1)
+	go func() {
+		defer group.Done()
+		for {
+			conn, err := l.Accept()
+			if err != nil {
+				return
+			}
+			group.Add(1)
+			go func() {
+				defer group.Done()
+				defer conn.Close()
+				n.mu.Lock()
+				n.opened++
+				n.mu.Unlock()
+				r := native.NewReader(conn, 1<<20)
+				h, err := r.ReadHello()
+				if err != nil {
+					return
+				}
+				conn.Write(native.Server{Name: "raw", Revision: revision, Timezone: "UTC"}.Encode())
+				revision := min(revision, h.Revision)
+				if r.ReadAddendum(revision) != nil {
+					return
+				}
+				for {
+					code, err := r.ReadClient()
+					if err == nil && code == native.ClientPing {
+						conn.Write([]byte{native.ServerPong})
+						continue
+					}
+					if err != nil || code != native.ClientQuery {
+						return
+					}
+					if _, err := r.ReadQuery(revision); err != nil {
+						return
+					}
+					r.ReadClient()
+					r.ReadClientData(revision)
+					n.mu.Lock()
+					n.asked++
+					n.mu.Unlock()
+					if answer(conn); hold {
+						io.Copy(io.Discard, conn)
+					}
+					return
+				}
+			}()
+		}
+	}()
+	return n
+}
+
+// Nodes that go wrong at every place of an answer: while the client has seen no row another node answers, afterwards the
+// answer fails, and what a node announces is not allocated before it is there.
+func TestNativeNodesThatGoWrongWithinAnAnswer(t *testing.T) {
+	progress := []byte{native.ServerProgress, 5, 5, 5, 0, 0, 0}
+	rows := func(n int) []byte {
+		b := block(t, n, 3)
+		b[0] = native.ServerData
+		return b
+	}
+	huge := append([]byte{native.ServerData, 0, 0, 1, 1, 1, 'c', 6}, "String\x00\xff\xff\xff\xff\xff\xff\xff\xff\x7f"...)
+	cases := []struct {
+		name   string
+		answer []byte
+		hold   bool
+		want   string // of the Exception; "": the other node answers
+	}{
+		{"stalls behind Progress", progress, true, ""},
+		{"stalls within a varint", []byte{native.ServerData, 0x80}, true, ""},
+		{"stalls within a block before any row went out", rows(9)[:40], true, ""},
+		{"cuts behind Progress", progress, false, ""},
+		{"cuts within a varint", []byte{native.ServerData, 0x80}, false, ""},
+		{"an enormous length", huge, true, ""},
+		{"a packet that is not known", []byte{77}, true, ""},
+		{"cuts within the second block", append(rows(9), rows(9)[:40]...), false, "ANSWER_BROKEN"},
+		{"an Exception behind rows", append(rows(9), (&native.Exception{Code: 241, Name: "DB::Exception", Message: "memory"}).Encode()...), true, "ANSWER_BROKEN"},
+		{"an Exception about the statement", (&native.Exception{Code: 62, Name: "DB::Exception", Message: "Syntax error",
+			Nested: &native.Exception{Code: 27, Name: "DB::Exception", Message: "the cause"}}).Encode(), true, "Syntax error"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			raw := startRawNode(t, native.Newest, func(w io.Writer) { w.Write(c.answer) }, c.hold)
+			good := standin.NewNode("good", standin.Model{}, 1)
+			if err := good.Start("127.0.0.1:0", false); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(good.Die)
+			r := newRigWith(t, 0, func(string) string {
+				return fmt.Sprintf(`{"list": [{"name": "raw", "native": %q}, {"name": "good", "native": %q}]}`, raw.address, good.Native)
+			}, "")
+			for range 30 { // until the raw node was asked
+				client := r.rawNative(t, native.Newest)
+				client.ask("SELECT node, row /* rows=3 class=report */", native.Setting{Name: "max_execution_time", Value: "8"})
+				p, got := native.Packet{}, 0
+				for p = client.until(native.ServerData); p.Code == native.ServerData; p = client.until(native.ServerData) {
+					got += p.Block.Rows
+				}
+				if raw.queries() == 0 {
+					if p.Code != native.ServerEndOfStream || got != 3 {
+						t.Fatalf("the good node: %d rows, %v", got, p.Exception)
+					}
+					continue
+				}
+				if c.want == "" && (p.Code != native.ServerEndOfStream || got != 3) {
+					t.Errorf("%d rows, %v, want three of the good node", got, p.Exception)
+				}
+				if c.want != "" && (p.Exception == nil || !strings.Contains(p.Exception.Message, c.want)) {
+					t.Errorf("%v, want %q", p.Exception, c.want)
+				}
+				if c.want == "Syntax error" && (p.Exception == nil || p.Exception.Nested == nil || p.Exception.Nested.Message != "the cause") {
+					t.Errorf("nested: %+v", p.Exception)
+				}
+				return
+			}
+			t.Error("the raw node was never asked")
+		})
+	}
+}
+
+// What is no native client at all, or a broken one, is told so and disturbs nobody.
+func TestWhatIsNoNativeClient(t *testing.T) {
+	r := newRig(t, 1, "")
+	for name, c := range map[string]struct{ sent, says string }{
+		"HTTP":                   {"GET / HTTP/1.1\r\nHost: x\r\n\r\n", "HTTP"},
+		"an old revision":        {string(native.Hello{Name: "old", Revision: 50000, User: "u"}.Encode()), "54429"},
+		"an enormous length":     {"\x00\xff\xff\xff\xff\xff\xff\xff\xff\x7f", "at most"},
+		"garbage behind a Hello": {string(native.Hello{Name: "c", Revision: native.Newest, User: "u"}.Encode()) + "\x00\x63", "99"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", r.d.NativeAddress())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer conn.Close()
+			io.WriteString(conn, c.sent)
+			in := native.NewReader(conn, 1<<20)
+			_, err = in.ReadServerHello()
+			if err == nil {
+				var p native.Packet
+				if p, err = in.ReadServer(native.Newest); err == nil && p.Exception != nil {
+					err = p.Exception
+				}
+			}
+			if err == nil || !strings.Contains(err.Error(), c.says) {
+				t.Errorf("%v, want %q", err, c.says)
+			}
+			if _, err := io.Copy(io.Discard, conn); err != nil {
+				t.Error("not closed in order: ", err)
+			}
+		})
+	}
+	c := r.native(t, "u")
+	defer c.Close()
+	if n, err := selectNative(t.Context(), c, "SELECT 1 /* rows=2 */"); err != nil || n != 2 {
+		t.Errorf("after them: %d, %v", n, err)
+	}
+}
+
+// Clients and nodes of other revisions: an old client at new nodes, and a new one at old nodes, which are learned of at
+// the first query.
+func TestOldAndNewRevisions(t *testing.T) {
+	for _, c := range []struct {
+		name         string
+		client, node int
+	}{{"an old client", native.Oldest, 0}, {"old nodes", 0, native.Oldest}, {"both old", 54453, 54450}} {
+		t.Run(c.name, func(t *testing.T) {
+			old := standin.NewNode("old", standin.Model{}, 1)
+			old.Revision = c.node
+			if err := old.Start("127.0.0.1:0", false); err != nil {
+				t.Fatal(err)
+			}
+			t.Cleanup(old.Die)
+			r := newRigWith(t, 0, func(string) string {
+				return fmt.Sprintf(`{"list": [{"name": "old", "native": %q}]}`, old.Native)
+			}, "")
+			var err error
+			for range 3 { // the first meets nodes whose revision is not known
+				var client *ch.Client
+				client, err = ch.Dial(t.Context(), ch.Options{Address: r.d.NativeAddress(), User: "u", ProtocolVersion: c.client})
+				if err != nil {
+					t.Fatal(err)
+				}
+				var n int
+				n, err = selectNative(t.Context(), client, "SELECT 1 /* rows=2000 */")
+				client.Close()
+				if err == nil && n != 2000 {
+					t.Errorf("%d rows", n)
+				}
+				if err == nil {
+					break
+				}
+			}
+			if err != nil {
+				t.Error(err)
+			}
+		})
+	}
+}
+
+// Many idle connections cost little, and a query among them is answered; they are gone when their clients are.
+func TestIdleNativeConnections(t *testing.T) {
+	r := newRig(t, 1, "")
+	n := 2000
+	if *many > 100 {
+		n = 10000
+	}
+	var clients []*rawNative
+	for range n {
+		clients = append(clients, r.rawNative(t, native.Newest))
+	}
+	last := clients[n-1]
+	last.ask("SELECT 1 /* rows=2 */")
+	if p := last.until(native.ServerEndOfStream); p.Code != native.ServerEndOfStream {
+		t.Error(p.Exception)
+	}
+	if got := r.d.Native().Conns(); got != n {
+		t.Errorf("%d connections, want %d", got, n)
+	}
+	c := r.native(t, "u")
+	defer c.Close()
+	if rows, err := selectNative(t.Context(), c, "SELECT 1 /* rows=2 */"); err != nil || rows != 2 {
+		t.Errorf("%d, %v", rows, err)
+	}
+}
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -42,7 +42,8 @@
 	return l
 }
 
-// Probe implements dispatch.Fleet: a health check (grpc.health.v1), whose trailers carry the load report.
+// Probe implements dispatch.Fleet: a health check (grpc.health.v1), whose trailers carry the load report; a Ping where a
+// node speaks the native protocol alone.
 func (f *Fleet) Probe(id string) {
 	f.group.Go(func() error {
 		begun := time.Now()
@@ -62,6 +63,9 @@
 	defer f.release(n)
 	ctx, cancel := context.WithTimeout(f.ctx, f.opt.ProbeTimeout)
 	defer cancel()
+	if n.address == "" {
+		return n.nativeProbe(ctx, &f.opt), nil
+	}
 	conn, err := n.ready(ctx, &f.opt)
 	if err != nil {
 		return choice.Refused, nil
--- a/fleet/native.go
+++ b/fleet/native.go
@@ -137,6 +137,34 @@
 	return c.w.Flush()
 }
 
+// nativeProbe sends a Ping on a connection as queries use it, and waits for its Pong.
+func (n *node) nativeProbe(ctx context.Context, o *Options) choice.Code {
+	key := nativeKey{revision: native.Newest}
+	if r := int(n.revision.Load()); r >= native.Oldest {
+		key.revision = min(r, native.Newest)
+	}
+	c, err := n.nativeReady(ctx, o, key)
+	if err != nil {
+		return choice.Refused
+	}
+	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
+	c.w.Write([]byte{native.ClientPing})
+	err = c.w.Flush()
+	var p native.Packet
+	if err == nil {
+		p, err = c.r.ReadServer(key.revision)
+	}
+	if stop() && err == nil && p.Code == native.ServerPong {
+		n.keep(c)
+		return choice.OK
+	}
+	c.conn.Close()
+	if ctx.Err() != nil {
+		return choice.TimedOut
+	}
+	return choice.Failed
+}
+
 // nativeAttempt makes an attempt over the ClickHouse native protocol.
 type nativeAttempt struct {
 	*attempt
