--- a/cmd/emberdispatch/demo.go
+++ b/cmd/emberdispatch/demo.go
@@ -12,7 +12,7 @@
 const demoConfig = `{
   "name": "demo",
   "any_user": true,
-  "listen": {"flightsql": "127.0.0.1:32010"},
+  "listen": {"flightsql": "127.0.0.1:32010", "native": "127.0.0.1:32011"},
   "kinds": [{"name": "standin", "cores": 8, "memory_mb": 16384}],
   "classes": [
     {"name": "lookup", "worth": 1, "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s"},
@@ -41,7 +41,7 @@
 			return nil, nil, err
 		}
 		nodes = append(nodes, n)
-		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q}`, n.Name, n.Address))
+		rows = append(rows, fmt.Sprintf(`{"name": %q, "address": %q, "native": %q}`, n.Name, n.Address, n.Native))
 	}
 	cfg, err := config.Parse("demo", fmt.Appendf(nil, demoConfig, strings.Join(rows, ", ")))
 	if err != nil {
--- a/cmd/emberdispatch/main.go
+++ b/cmd/emberdispatch/main.go
@@ -23,7 +23,7 @@
 
 var cli struct {
 	Config string `arg:"" optional:"" type:"existingfile" help:"Configuration file (JSON with comments)."`
-	Demo   bool   `help:"Serve 127.0.0.1:32010 with three stand-in query nodes in this process; any user and password."`
+	Demo   bool   `help:"Serve 127.0.0.1:32010 (Flight SQL) and :32011 (ClickHouse native) with three stand-in query nodes in this process; any user and password."`
 	Seed   uint64 `help:"Seed of the decision module's random numbers; 0 draws one."`
 }
 
@@ -63,7 +63,7 @@
 	}
 	log.Info("serving Flight SQL", "address", d.Address())
 	if cli.Demo {
-		fmt.Printf("\nTry: go run ./cmd/emberquery 'SELECT * FROM policy /* work_ms=20 rows=3 */'\n\n")
+		fmt.Printf("\nTry: go run ./cmd/emberquery [--native] 'SELECT * FROM policy /* work_ms=20 rows=3 */'\n\n")
 	}
 	var group errgroup.Group
 	ctx, cancel := context.WithCancel(context.Background())
--- a/cmd/emberquery/main.go
+++ b/cmd/emberquery/main.go
@@ -1,4 +1,4 @@
-// Command emberquery sends statements to a dispatcher over Arrow Flight SQL and prints their answers as tables.
+// Command emberquery sends statements to a dispatcher over Arrow Flight SQL or the ClickHouse native protocol and prints their answers as tables.
 package main
 
 import (
@@ -24,12 +24,13 @@
 
 var cli struct {
 	Statements []string          `arg:"" help:"SQL statements, sent one after another."`
-	Address    string            `short:"a" default:"127.0.0.1:32010" help:"Dispatcher, as host:port."`
+	Address    string            `short:"a" help:"Dispatcher, as host:port; default 127.0.0.1:32010, with --native 127.0.0.1:32011."`
+	Native     bool              `help:"Speak the ClickHouse native protocol in place of Arrow Flight SQL."`
 	User       string            `short:"u" default:"demo" help:"User name."`
 	Password   string            `short:"p" env:"EMBERQUERY_PASSWORD" default:"demo" help:"Password."`
 	Timeout    time.Duration     `short:"t" help:"Deadline of each statement; 0 leaves it to the dispatcher."`
 	Update     bool              `help:"Send as updates."`
-	Header     map[string]string `short:"H" help:"Call headers."`
+	Header     map[string]string `short:"H" help:"Call headers; with --native settings of the query."`
 	Rows       int               `short:"n" default:"50" help:"Most rows printed of an answer."`
 }
 
@@ -38,6 +39,15 @@
 	kong.Parse(&cli, kong.Name("emberquery"), kong.Description("Sends statements to a dispatcher."))
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt)
 	defer stop()
+	if cli.Address == "" {
+		cli.Address = "127.0.0.1:32010"
+		if cli.Native {
+			cli.Address = "127.0.0.1:32011"
+		}
+	}
+	if cli.Native {
+		os.Exit(overNative(ctx))
+	}
 	client, err := flightsql.NewClient(cli.Address, nil, nil, grpc.WithTransportCredentials(insecure.NewCredentials()),
 		grpc.WithDefaultCallOptions(grpc.MaxCallRecvMsgSize(64<<20)))
 	if err != nil {
--- /dev/null
+++ b/fleet/native_test.go
@@ -0,0 +1,169 @@
+package fleet
+
+import (
+	"context"
+	"io"
+	"net"
+	"testing"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/dispatch"
+	"embershunt/internal/native"
+	"embershunt/nodelist"
+	"embershunt/standin"
+)
+
+// tape keeps what a fleet has seen.
+type tape struct{ events chan dispatch.Event }
+
+func (t tape) Post(ev dispatch.Event) { t.events <- ev }
+
+// taker takes an answer.
+type taker struct{ rows int }
+
+func (s *taker) Packet(p native.Packet) error {
+	s.rows += p.Block.Rows
+	return nil
+}
+
+// play sends one attempt to one node and returns what was seen of it, up to its end.
+func play(t *testing.T, address string, call native.Call, until time.Duration) (notes []choice.Progress, end dispatch.Ended) {
+	t.Helper()
+	clock := dispatch.NewClock()
+	f := New(Options{Clock: clock, ConnectTimeout: 200 * time.Millisecond})
+	tp := tape{make(chan dispatch.Event, 10000)}
+	f.Bind(tp)
+	defer f.Close()
+	if err := f.SetNodes([]nodelist.Node{{ID: "n", Native: address}}); err != nil {
+		t.Fatal(err)
+	}
+	call.Revision, call.Sink = native.Newest, &taker{}
+	call.Query.ID, call.Query.Info, call.Query.Stage = "q", []byte{0}, 2
+	call.Tables = native.EndOfData()
+	now := clock.Now()
+	f.Send(dispatch.Attempt{Query: &dispatch.Query{ID: "q", Work: &call, Due: now + 1e7}, Node: "n", Until: now + until.Microseconds()})
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			t.Fatal("no end in 5 s")
+		case ev := <-tp.events:
+			switch ev := ev.(type) {
+			case dispatch.Begun:
+				f.Open(ev.ID, ev.N)
+			case dispatch.Ended:
+				return notes, ev
+			case dispatch.Told:
+				if p, ok := ev.Event.(choice.Progress); ok {
+					notes = append(notes, p)
+				}
+			}
+		}
+	}
+}
+
+// Every way in which an attempt over the native protocol ends, with care for what may have run.
+func TestEndsOfNativeAttempts(t *testing.T) {
+	const insert = "INSERT INTO events (id, name) VALUES"
+	rows := [][]byte{native.EndOfData()}
+	cases := []struct {
+		name     string
+		fault    standin.Faults
+		down     bool
+		text     string
+		data     [][]byte
+		code     choice.Code
+		rejected bool
+	}{
+		{"an answer", standin.Faults{}, false, "SELECT 1 /* rows=10 */", nil, choice.OK, false},
+		{"no connection", standin.Faults{}, true, "SELECT 1", nil, choice.Refused, false},
+		{"turned away", standin.Faults{Full: true}, false, "SELECT 1", nil, choice.Full, false},
+		{"failed", standin.Faults{Fail: 1}, false, "SELECT 1", nil, choice.Failed, false},
+		{"a wrong statement", standin.Faults{}, false, "SELECT 1 /* fail=no */", nil, choice.Failed, true},
+		{"silent", standin.Faults{Hang: true}, false, "SELECT 1", nil, choice.TimedOut, false},
+		{"an update without an answer", standin.Faults{Lost: true}, false, "CREATE TABLE t", nil, choice.TimedOut, false},
+		{"a cut answer", standin.Faults{CutRow: 5}, false, "SELECT 1 /* rows=10 */", nil, choice.Reset, false},
+		{"rows taken", standin.Faults{}, false, insert, rows, choice.OK, false},
+		{"silent before it took a row: never ran", standin.Faults{Hang: true}, false, insert, rows, choice.Refused, false},
+		{"rows taken and no answer", standin.Faults{Lost: true}, false, insert, rows, choice.TimedOut, false},
+		{"rows taken and failed", standin.Faults{Fail: 1}, false, insert, rows, choice.Failed, false},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			n := standin.NewNode("n", standin.Model{}, 1)
+			if err := n.Start("127.0.0.1:0", false); err != nil {
+				t.Fatal(err)
+			}
+			defer n.Die()
+			n.Set(c.fault)
+			if c.down {
+				n.Die()
+			}
+			_, end := play(t, n.Native, native.Call{Query: native.Query{Text: c.text}, Data: c.data}, 300*time.Millisecond)
+			if c.text == insert && c.fault.Hang { // told well before the attempt's own time-out would have been
+				_, end = play(t, n.Native, native.Call{Query: native.Query{Text: c.text}, Data: c.data}, 4*time.Second)
+				if end.Took > 2e6 {
+					t.Errorf("told after %d us", end.Took)
+				}
+			}
+			if end.Code != c.code || end.Rejected != c.rejected {
+				t.Errorf("code %d, rejected %v, want %d, %v (%v)", end.Code, end.Rejected, c.code, c.rejected, end.Err)
+			}
+		})
+	}
+}
+
+// What a node tells of a query's course and cost comes to the module.
+func TestNativeNodesTellProgressAndCost(t *testing.T) {
+	n := standin.NewNode("n", standin.Model{}, 1)
+	if err := n.Start("127.0.0.1:0", false); err != nil {
+		t.Fatal(err)
+	}
+	defer n.Die()
+	notes, end := play(t, n.Native, native.Call{Query: native.Query{Text: "SELECT 1 /* rows=10 work_ms=600 memory_mb=50 */"}}, 4*time.Second)
+	if end.Code != choice.OK || end.WorkUs != 600000 || end.NeedMB != 50 {
+		t.Errorf("code %d, work %d us, memory %v MB, want 600000 and 50", end.Code, end.WorkUs, end.NeedMB)
+	}
+	if len(notes) < 3 || len(notes) > 8 {
+		t.Errorf("%d notes, want one each 100 ms", len(notes))
+	}
+	for i, p := range notes {
+		if p.ID != "q" || p.Engine != "n" || p.Kind != choice.ShareDone || p.Value <= 0 || p.Value > 1 || i > 0 && p.Value < notes[i-1].Value {
+			t.Errorf("note %d: %+v", i, p)
+		}
+	}
+}
+
+// A node that breaks off while rows are written to it ends the attempt, and the writer with it.
+func TestANodeThatLeavesDuringAnUpload(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	done := make(chan struct{})
+	defer func() { <-done }()
+	go func() {
+		defer close(done)
+		conn, err := l.Accept()
+		if err != nil {
+			return
+		}
+		r := native.NewReader(conn, 1<<20)
+		r.ReadHello()
+		conn.Write(native.Server{Name: "n", Revision: native.Newest}.Encode())
+		r.ReadAddendum(native.Newest)
+		r.ReadClient()
+		r.ReadQuery(native.Newest)
+		conn.Write([]byte{native.ServerData, 0, 0, 0, 0}) // no columns at all will do here
+		io.CopyN(io.Discard, conn, 1<<20)
+		conn.Close()
+	}()
+	large := make([]byte, 32<<20)
+	_, end := play(t, l.Addr().String(), native.Call{Query: native.Query{Text: "INSERT INTO t VALUES"}, Data: [][]byte{large}}, 4*time.Second)
+	if end.Code != choice.Reset {
+		t.Errorf("code %d, want that the connection broke (%v)", end.Code, end.Err)
+	}
+}
--- /dev/null
+++ b/internal/native/client.go
@@ -0,0 +1,86 @@
+package native
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"time"
+)
+
+// Client is a small client of the protocol, for command lines: one connection, one query at a time.
+type Client struct {
+	conn     net.Conn
+	r        *Reader
+	revision int
+	Server   Server
+}
+
+// Dial connects and shakes hands. An Exception of the server comes as *Exception.
+func Dial(ctx context.Context, address string, h Hello) (*Client, error) {
+	conn, err := new(net.Dialer).DialContext(ctx, "tcp", address)
+	if err != nil {
+		return nil, err
+	}
+	c := &Client{conn: conn, r: NewReader(conn, 256<<20)}
+	defer c.bound(ctx)()
+	if h.Revision == 0 {
+		h.Revision = Newest
+	}
+	if _, err = conn.Write(h.Encode()); err == nil {
+		if c.Server, err = c.r.ReadServerHello(); err == nil {
+			if c.revision = min(h.Revision, c.Server.Revision); c.revision >= AddendumFrom {
+				_, err = conn.Write(PutText(nil, "")) // quota key
+			}
+		}
+	}
+	if err != nil {
+		conn.Close()
+		return nil, err
+	}
+	return c, nil
+}
+
+// Close ends the connection.
+func (c *Client) Close() error { return c.conn.Close() }
+
+// bound ends what the connection does with ctx; call what it returns afterwards.
+func (c *Client) bound(ctx context.Context) func() {
+	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
+	return func() { stop() }
+}
+
+// Query runs a statement and shows each block of its answer that has rows. An Exception comes as *Exception.
+func (c *Client) Query(ctx context.Context, text string, settings map[string]string, show func(*Values) error) error {
+	defer c.bound(ctx)()
+	q := Query{Info: []byte{0}, Stage: 2, Text: text}
+	for name, value := range settings {
+		q.Settings = append(q.Settings, Setting{Name: name, Value: value})
+	}
+	if _, err := c.conn.Write(append(q.Encode(c.revision), EndOfData()...)); err != nil {
+		return err
+	}
+	for {
+		p, err := c.r.ReadServer(c.revision)
+		if err != nil {
+			if ctx.Err() != nil {
+				return errors.Join(ctx.Err(), err)
+			}
+			return err
+		}
+		switch p.Code {
+		case ServerException:
+			return p.Exception
+		case ServerEndOfStream:
+			return nil
+		case ServerData:
+			v, err := ReadValues(p.Raw[p.Body:], c.revision)
+			if err != nil {
+				return fmt.Errorf("block of %d rows: %w", p.Block.Rows, err)
+			}
+			if err := show(v); err != nil {
+				return err
+			}
+		}
+	}
+}
--- a/internal/native/column.go
+++ b/internal/native/column.go
@@ -9,7 +9,7 @@
 
 // column is how a column's bytes are laid out: enough to find its end, not to read it.
 type column struct {
-	name  string // of the type, at the top
+	name  string // of the type
 	kind  layout
 	width uint64 // of fixed ones
 	of    []column
@@ -37,6 +37,14 @@
 // parseType reads a type's name. Types whose layout cannot be told from their name are an error.
 func parseType(name string, depth int) (column, error) {
 	name = strings.TrimSpace(name)
+	c, err := layoutOf(name, depth)
+	if c.name == "" {
+		c.name = name
+	}
+	return c, err
+}
+
+func layoutOf(name string, depth int) (column, error) {
 	if depth > typeDepth {
 		return column{}, fmt.Errorf("types nested deeper than %d", typeDepth)
 	}
@@ -331,7 +339,6 @@
 		if err != nil {
 			return r.wrong("type of a column", err.Error(), "a type of docs/design-native.md")
 		}
-		c.name = kind
 		at := len(r.raw)
 		if rows > 0 {
 			if err := r.prefix(c); err != nil {
