Native front: whole answers in one write; stale pooled connections are seen

The test of a pooled connection read with a deadline in the past, which never looks at the socket: one that the node had closed was used.

--- a/fleet/native.go
+++ b/fleet/native.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"context"
 	"errors"
 	"io"
@@ -51,22 +52,13 @@
 			}
 		}
 		n.mu.Unlock()
-		if c == nil || time.Since(c.idleFrom) < idleLife && c.quiet() {
+		if c == nil || time.Since(c.idleFrom) < idleLife && quiet(c.conn) {
 			return c
 		}
 		c.conn.Close()
 	}
 }
 
-// quiet tells that a connection is up and nothing has come on it.
-func (c *nativeConn) quiet() bool {
-	c.conn.SetReadDeadline(time.Now().Add(-time.Second))
-	var b [1]byte
-	_, err := c.conn.Read(b[:])
-	c.conn.SetReadDeadline(time.Time{})
-	return errors.Is(err, os.ErrDeadlineExceeded)
-}
-
 // keep puts a connection back on which nothing was left unfinished.
 func (n *node) keep(c *nativeConn) {
 	c.idleFrom = time.Now()
@@ -212,13 +204,13 @@
 	}
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	t.unsent = true
-	clean, err := t.speak(ctx, c)
+	clean, result, err := t.speak(ctx, c)
 	if stop() && clean {
 		n.keep(c)
 	} else {
 		t.giveUp(c)
 	}
-	return nil, err
+	return result, err
 }
 
 // giveUp tells the node that nobody waits any more, as far as that can be done at once, and closes the connection: what is
@@ -256,28 +248,24 @@
 // heldMost bounds the packets kept back until the first rows, in bytes.
 const heldMost = 256 << 10
 
-// speak sends the query and passes its answer on; clean tells that the connection may serve another one. Head and progress
-// are kept back until the first rows or the end are there: while the client has seen nothing, another node may answer.
-func (t *nativeAttempt) speak(ctx context.Context, c *nativeConn) (clean bool, err error) {
+// speak sends the query and passes its answer on; clean tells that the connection may serve another one.
+func (t *nativeAttempt) speak(ctx context.Context, c *nativeConn) (clean bool, result any, err error) {
 	c.r.Packed = t.call.Query.Compression
 	// An INSERT does nothing before its rows are there, and what is asked for a sample never gets any.
 	t.unsent = t.call.Data != nil || t.call.Sample
 	c.w.Write(t.query().Encode(t.call.Revision))
 	c.w.Write(t.call.Tables)
 	if err := c.w.Flush(); err != nil {
-		return false, err
+		return false, nil, err
 	}
 	if t.call.Data != nil || t.call.Sample {
 		sample, err := t.sample(ctx, c)
 		if err != nil {
 			var e *native.Exception
-			return errors.As(err, &e), err
+			return errors.As(err, &e), nil, err
 		}
 		if t.call.Sample { // the node is left waiting for rows, so that the connection ends here
-			if err := t.mayFlow(ctx); err != nil {
-				return false, err
-			}
-			return false, t.call.Sink.Packet(sample)
+			return false, bytes.Clone(sample.Raw), nil
 		}
 	}
 	var upload errgroup.Group
@@ -285,7 +273,7 @@
 		t.unsent = false
 		upload.Go(func() error { return t.upload(c) })
 	}
-	clean, err = t.answer(ctx, c)
+	clean, result, err = t.answer(ctx, c)
 	if t.call.Data != nil {
 		if !clean || err != nil { // the node has spoken: what it has not taken by now it does not want
 			c.conn.SetWriteDeadline(time.Unix(1, 0))
@@ -298,7 +286,7 @@
 		}
 		c.conn.SetWriteDeadline(time.Time{})
 	}
-	return clean, err
+	return clean, result, err
 }
 
 // columnsWithin is how long a node may take to tell which columns an INSERT takes, in connect time-outs: that is no work,
@@ -341,31 +329,17 @@
 	return c.w.Flush()
 }
 
-// answer passes the node's answer on.
-func (t *nativeAttempt) answer(ctx context.Context, c *nativeConn) (clean bool, err error) {
-	var held []native.Packet
-	kept, flows := 0, false
-	flow := func() error {
-		if flows {
-			return nil
-		}
-		flows = true
-		if err := t.mayFlow(ctx); err != nil {
-			return err
-		}
-		for _, p := range held {
-			if err := t.call.Sink.Packet(p); err != nil {
-				return err
-			}
-		}
-		held = nil
-		return nil
-	}
+// answer passes the node's answer on. One that is there as a whole is the result: it goes out with the final answer, and
+// until then another node's may take its place. Of a longer one head and progress are kept back until its first rows are
+// there.
+func (t *nativeAttempt) answer(ctx context.Context, c *nativeConn) (clean bool, result any, err error) {
+	held, flows := []byte{}, false
 	for {
 		p, err := c.r.ReadServer(t.call.Revision)
 		if err != nil {
-			return false, err
+			return false, nil, err
 		}
+		more := c.r.Buffered()
 		switch p.Code {
 		case native.ServerProfileEvents:
 			t.cost(p.Raw[p.Body:])
@@ -375,29 +349,25 @@
 		case native.ServerProgress:
 			t.note(p.Progress)
 		case native.ServerException:
-			return true, p.Exception
+			return true, nil, p.Exception
 		case native.ServerEndOfStream:
-			return true, flow()
-		case native.ServerData:
-			if p.Block.Rows > 0 {
-				if err := flow(); err != nil {
-					return false, err
-				}
+			if flows {
+				return true, nil, nil
 			}
+			return true, held, nil
 		}
 		if !flows {
-			if kept += len(p.Raw); kept > heldMost {
-				if err := flow(); err != nil {
-					return false, err
-				}
-			} else {
-				p.Raw = append([]byte(nil), p.Raw...)
-				held = append(held, p)
+			held = append(held, p.Raw...)
+			if len(held) <= heldMost && (more || p.Code != native.ServerData || p.Block.Rows == 0) {
 				continue
 			}
+			if flows = true; t.mayFlow(ctx) != nil {
+				return false, nil, context.Cause(ctx)
+			}
+			p.Raw, held = held, nil
 		}
-		if err := t.call.Sink.Packet(p); err != nil {
-			return false, err
+		if err := t.call.Sink.Pass(p.Raw, more); err != nil {
+			return false, nil, err
 		}
 	}
 }
--- a/fleet/native_test.go
+++ b/fleet/native_test.go
@@ -20,12 +20,9 @@
 func (t tape) Post(ev dispatch.Event) { t.events <- ev }
 
 // taker takes an answer.
-type taker struct{ rows int }
+type taker struct{}
 
-func (s *taker) Packet(p native.Packet) error {
-	s.rows += p.Block.Rows
-	return nil
-}
+func (s *taker) Pass([]byte, bool) error { return nil }
 
 // play sends one attempt to one node and returns what was seen of it, up to its end.
 func play(t *testing.T, address string, call native.Call, until time.Duration) (notes []choice.Progress, end dispatch.Ended) {
--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -3,6 +3,7 @@
 package clickhouse
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"errors"
@@ -101,7 +102,7 @@
 			}
 			group.Go(func() error {
 				defer f.leave(conn)
-				s := &session{front: f, conn: conn, r: native.NewReader(conn, f.opt.MaxPacket)}
+				s := &session{front: f, conn: conn, r: native.NewReader(conn, f.opt.MaxPacket), out: bufio.NewWriterSize(conn, 16<<10)}
 				if err := s.serve(ctx); err != nil {
 					f.opt.Log.Debug("native connection ended", "client", conn.RemoteAddr(), "error", err)
 				}
@@ -147,8 +148,9 @@
 
 	mu      sync.Mutex // of what is written
 	spoke   bool       // the last word may have been an Exception of the front's own
-	over    bool       // the answer has its end: nothing of it may be written any more
-	partial bool       // a packet was written in part
+	out     *bufio.Writer
+	over    bool // the answer has its end: nothing of it may be written any more
+	partial bool // a packet was written in part
 }
 
 // step is what the reader saw.
@@ -225,8 +227,10 @@
 func (s *session) write(b []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	_, err := s.conn.Write(b)
-	return err
+	if _, err := s.out.Write(b); err != nil {
+		return err
+	}
+	return s.out.Flush()
 }
 
 // refuse writes an Exception of the front's own.
@@ -391,28 +395,20 @@
 
 // ask hands a call over and waits for its final answer; meanwhile it heeds what the client sends.
 func (s *session) ask(ctx context.Context, call front.Call, steps <-chan step) (v dispatch.Verdict, how ending, err error) {
-	ctx, cancel := context.WithCancel(ctx)
-	defer cancel()
-	type answer struct {
-		v   dispatch.Verdict
-		err error
-	}
-	done := make(chan answer, 1)
-	var group errgroup.Group
-	defer group.Wait()
-	group.Go(func() error {
-		v, err := s.front.desk.Ask(ctx, call)
-		done <- answer{v, err}
-		return nil
-	})
+	asked, err := s.front.desk.Begin(call)
+	if err != nil {
+		return v, answered, err
+	}
 	off := func(how ending, err error) (dispatch.Verdict, ending, error) {
-		cancel()
-		return (<-done).v, how, err
+		asked.Leave()
+		return <-asked.Done, how, err
 	}
 	for {
 		select {
-		case a := <-done:
-			return a.v, answered, a.err
+		case v := <-asked.Done:
+			return v, answered, nil
+		case <-ctx.Done():
+			return off(gone, nil)
 		case st, ok := <-steps:
 			switch {
 			case !ok:
@@ -449,18 +445,19 @@
 
 var errPartial = errors.New("a packet was broken off: the connection cannot go on")
 
-// Packet implements native.Sink.
-func (s *session) Packet(p native.Packet) error {
+// Pass implements native.Sink.
+func (s *session) Pass(packets []byte, more bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.over {
 		return errors.New("the answer has its end")
 	}
-	if n, err := s.conn.Write(p.Raw); err != nil {
-		s.partial = s.partial || n > 0 && n < len(p.Raw)
-		return err
+	_, err := s.out.Write(packets)
+	if err == nil && !more {
+		err = s.out.Flush()
 	}
-	return nil
+	s.partial = s.partial || err != nil
+	return err
 }
 
 // end sees to it that nothing more of the present answer is written. A write that a slow client holds up is broken off.
@@ -480,7 +477,8 @@
 		return errPartial
 	}
 	if v.Final == dispatch.Served {
-		return s.write([]byte{native.ServerEndOfStream})
+		whole, _ := v.Result.([]byte) // what was not streamed
+		return s.write(append(whole, native.ServerEndOfStream))
 	}
 	return s.write(exceptionOf(v).Encode())
 }
--- a/front/clickhouse/insert.go
+++ b/front/clickhouse/insert.go
@@ -1,7 +1,6 @@
 package clickhouse
 
 import (
-	"bytes"
 	"context"
 	"errors"
 	"fmt"
@@ -58,16 +57,15 @@
 	key := sampleKey(work, s.hello.User)
 	sample, ok := s.front.samples.Get(key, time.Now())
 	if !ok {
-		catch := &catcher{}
 		first := *work
-		first.Sample, first.Sink = true, catch
+		first.Sample = true
 		ask := call
 		ask.Work, ask.Facts.Harmless = &first, true
 		v, how, err := s.ask(ctx, ask, steps)
 		if how != answered || err != nil || v.Final != dispatch.Served {
 			return s.close(v, how, err)
 		}
-		sample = catch.packet
+		sample = v.Result.([]byte)
 		s.front.samples.Put(key, sample, time.Now())
 	}
 	if err := s.write(sample); err != nil {
@@ -127,12 +125,3 @@
 func sampleKey(w *native.Call, user string) string {
 	return strings.Join([]string{user, w.Database, strconv.Itoa(w.Revision), strconv.FormatBool(w.Query.Compression), w.Query.Text}, "\x00")
 }
-
-// catcher keeps the one packet of a sample.
-type catcher struct{ packet []byte }
-
-// Packet implements native.Sink.
-func (c *catcher) Packet(p native.Packet) error {
-	c.packet = bytes.Clone(p.Raw)
-	return nil
-}
--- a/front/front.go
+++ b/front/front.go
@@ -90,19 +90,25 @@
 	return c.left(tables, traits), nil
 }
 
-// asked is one query that waits for its final answer.
-type asked struct{ done chan dispatch.Verdict }
+// Asked is one query that waits for its final answer.
+type Asked struct {
+	Done chan dispatch.Verdict // gets the final answer, once
+	desk *Desk
+	id   string
+}
 
 // Answer implements dispatch.Client.
-func (a *asked) Answer(v dispatch.Verdict) { a.done <- v }
+func (a *Asked) Answer(v dispatch.Verdict) { a.Done <- v }
 
-// Ask hands a query over and waits for its final answer. When ctx ends, the client's leaving is passed on and the answer
-// comes at once. The error is classify's: hints that cannot be used.
-func (d *Desk) Ask(ctx context.Context, c Call) (dispatch.Verdict, error) {
+// Leave tells that the client is gone; Done gets its word at once.
+func (a *Asked) Leave() { a.desk.Leave(a.id) }
+
+// Begin hands a query over. The error is classify's: hints that cannot be used.
+func (d *Desk) Begin(c Call) (*Asked, error) {
 	tables := d.Tables()
 	traits, err := tables.Classes.Classify(c.Facts)
 	if err != nil {
-		return dispatch.Verdict{}, err
+		return nil, err
 	}
 	if !traits.Hinted && traits.Rule == "" {
 		d.unruled.Add(1)
@@ -112,19 +118,29 @@
 	if traits.MemoryMB == 0 {
 		traits.MemoryMB = c.MB
 	}
-	a := &asked{done: make(chan dispatch.Verdict, 1)}
-	q := &dispatch.Query{ID: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1)), Version: tables.Version, Class: traits.Class,
+	a := &Asked{Done: make(chan dispatch.Verdict, 1), desk: d, id: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1))}
+	q := &dispatch.Query{ID: a.id, Version: tables.Version, Class: traits.Class,
 		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
 		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Protocol: c.Speaks, Due: now + left.Microseconds(), Work: c.Work, Client: a}
 	if c.Taken != nil {
 		c.Taken(q.ID)
 	}
 	d.post.Post(dispatch.Taken{Query: q})
+	return a, nil
+}
+
+// Ask hands a query over and waits for its final answer. When ctx ends, the client's leaving is passed on and the answer
+// comes at once.
+func (d *Desk) Ask(ctx context.Context, c Call) (dispatch.Verdict, error) {
+	a, err := d.Begin(c)
+	if err != nil {
+		return dispatch.Verdict{}, err
+	}
 	select {
-	case v := <-a.done:
+	case v := <-a.Done:
 		return v, nil
 	case <-ctx.Done():
-		d.Leave(q.ID)
-		return <-a.done, nil
+		a.Leave()
+		return <-a.Done, nil
 	}
 }
--- a/internal/native/call.go
+++ b/internal/native/call.go
@@ -1,8 +1,10 @@
 package native
 
-// Sink takes the packets of an answer on their way to the client. Packet blocks while the client is slow, which is what
-// holds the node back.
-type Sink interface{ Packet(p Packet) error }
+// Sink takes the bytes of an answer on their way to the client, packet by packet; more tells that another one is at hand,
+// so that both may go out together. Pass blocks while the client is slow, which is what holds the node back.
+type Sink interface {
+	Pass(packets []byte, more bool) error
+}
 
 // Call is one query as both the front and the fleet know it.
 type Call struct {
--- a/internal/native/column.go
+++ b/internal/native/column.go
@@ -286,6 +286,24 @@
 	return b, err
 }
 
+// typesMost bounds the types remembered.
+const typesMost = 200
+
+// layout is parseType, remembered.
+func (r *Reader) layout(name string) (column, error) {
+	if c, ok := r.types[name]; ok {
+		return c, nil
+	}
+	c, err := parseType(name, 0)
+	if err == nil && len(name) <= 100 {
+		if r.types == nil || len(r.types) >= typesMost {
+			r.types = map[string]column{}
+		}
+		r.types[name] = c
+	}
+	return c, err
+}
+
 // walk reads a block and shows its rows, then each column with its values' bytes, which are valid until the next read.
 func (r *Reader) walk(revision int, head func(rows int), show func(name string, c column, values []byte) error) error {
 	for {
@@ -335,7 +353,7 @@
 				return r.wrong("serialization", fmt.Sprint(special), "0: others change with the data")
 			}
 		}
-		c, err := parseType(kind, 0)
+		c, err := r.layout(kind)
 		if err != nil {
 			return r.wrong("type of a column", err.Error(), "a type of docs/design-native.md")
 		}
--- a/internal/native/reader.go
+++ b/internal/native/reader.go
@@ -80,15 +80,19 @@
 	// Packed tells that the blocks of the present query are compressed. Those of logs and profile events never are, at the
 	// revisions served here.
 	Packed bool
+	types  map[string]column // read before
 	frames *frames
 	inner  *Reader // reads what the frames hold
 }
 
 // NewReader returns a Reader; a packet of more than most bytes is an error.
 func NewReader(r io.Reader, most int) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, 64<<10), most: most, packet: "connection"}
+	return &Reader{r: bufio.NewReaderSize(r, min(64<<10, most+1)), most: most, packet: "connection"}
 }
 
+// Buffered tells that more has come already than was read.
+func (r *Reader) Buffered() bool { return r.r.Buffered() > 0 }
+
 // begin starts a packet.
 func (r *Reader) begin(name string) { r.raw, r.packet = r.raw[:0], name }
 
@@ -108,6 +112,12 @@
 		return nil, r.wrong(field, fmt.Sprintf("%d bytes", n), fmt.Sprintf("packets of %d bytes at most", r.most))
 	}
 	at := len(r.raw)
+	if int(n) <= r.r.Buffered() { // it is there: no need to grow by steps
+		b, _ := r.r.Peek(int(n))
+		r.raw = append(r.raw, b...)
+		r.r.Discard(int(n))
+		return r.raw[at:], nil
+	}
 	for left := int(n); left > 0; {
 		k, from := min(left, chunk), len(r.raw)
 		r.raw = append(r.raw, make([]byte, k)...)
@@ -132,15 +142,15 @@
 func (r *Reader) uvarint(field string) (uint64, error) {
 	var v uint64
 	for shift := 0; shift < 70; shift += 7 {
-		b, err := r.take(field, 1)
+		b, err := r.byte(field)
 		if err != nil {
 			return 0, err
 		}
-		if shift == 63 && b[0] > 1 {
+		if shift == 63 && b > 1 {
 			break
 		}
-		v |= uint64(b[0]&0x7f) << shift
-		if b[0] < 0x80 {
+		v |= uint64(b&0x7f) << shift
+		if b < 0x80 {
 			return v, nil
 		}
 	}
@@ -166,11 +176,16 @@
 }
 
 func (r *Reader) byte(field string) (byte, error) {
-	b, err := r.take(field, 1)
-	if err != nil {
+	if len(r.raw) >= r.most {
+		_, err := r.take(field, 1)
 		return 0, err
 	}
-	return b[0], nil
+	b, err := r.r.ReadByte()
+	if err != nil {
+		return 0, cut(err)
+	}
+	r.raw = append(r.raw, b)
+	return b, nil
 }
 
 func (r *Reader) int64(field string) (int64, error) {
--- a/standin/native.go
+++ b/standin/native.go
@@ -216,7 +216,6 @@
 	if s.revision >= native.Newest {
 		s.w.Write([]byte{0})
 	}
-	s.w.Flush()
 }
 
 // profile writes what the query cost.
@@ -258,6 +257,7 @@
 				total = scanned
 			}
 			s.progress(read-told, total)
+			s.w.Flush()
 			told = read
 		}
 	}); err != nil {
