--- a/classify/statement.go
+++ b/classify/statement.go
@@ -220,6 +220,25 @@
 	}
 }
 
+// Bare is a statement without its comments and with single spaces; one that cannot be read is left as it is.
+func Bare(statement string) string {
+	s := scanner{text: statement}
+	var b strings.Builder
+	for {
+		kind, word := s.next()
+		switch kind {
+		case tokenEnd:
+			return b.String()
+		case tokenBroken:
+			return statement
+		}
+		if b.Len() > 0 {
+			b.WriteByte(' ')
+		}
+		b.WriteString(word)
+	}
+}
+
 // InsertsClientData tells an INSERT whose rows are to come from the client, behind the statement: it ends with VALUES or
 // FORMAT and a name, or holds neither VALUES nor SELECT.
 func InsertsClientData(statement string) bool {
--- /dev/null
+++ b/day/native.go
@@ -0,0 +1,113 @@
+package day
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"regexp"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/ClickHouse/ch-go"
+	"github.com/ClickHouse/ch-go/proto"
+)
+
+// natives are one group of clients of one dispatcher's native port: connections are used again, as a pool of a real client
+// does.
+type natives struct {
+	address string
+	mu      sync.Mutex
+	idle    []*ch.Client
+}
+
+func (n *natives) take(ctx context.Context) (*ch.Client, error) {
+	n.mu.Lock()
+	if last := len(n.idle) - 1; last >= 0 {
+		c := n.idle[last]
+		n.idle = n.idle[:last]
+		n.mu.Unlock()
+		return c, nil
+	}
+	n.mu.Unlock()
+	return ch.Dial(ctx, ch.Options{Address: n.address, User: "day", Compression: ch.CompressionLZ4})
+}
+
+func (n *natives) put(c *ch.Client) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.idle = append(n.idle, c)
+}
+
+func (n *natives) close() {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	for _, c := range n.idle {
+		c.Close()
+	}
+	n.idle = nil
+}
+
+// execute runs a statement with an unmodified native client. With a token it is an INSERT whose rows the client brings.
+func (n *natives) execute(ctx context.Context, statement, token string) (rows int64, err error) {
+	c, err := n.take(ctx)
+	if err != nil {
+		return 0, err
+	}
+	q := ch.Query{Body: statement}
+	if due, ok := ctx.Deadline(); ok {
+		q.Settings = append(q.Settings, ch.Setting{Key: "max_execution_time", Value: fmt.Sprint(time.Until(due).Seconds())})
+	}
+	if token != "" {
+		q.Settings = append(q.Settings, ch.Setting{Key: "insert_deduplication_token", Value: token})
+		var id proto.ColUInt64
+		var name proto.ColStr
+		id.Append(1)
+		name.Append(token)
+		q.Input = proto.Input{{Name: "id", Data: &id}, {Name: "name", Data: &name}}
+		q.OnInput = func(context.Context) error { id.Reset(); name.Reset(); return io.EOF }
+		rows = 1
+	} else {
+		var node proto.ColStr
+		var row proto.ColInt64
+		var payload proto.ColStr
+		q.Result = proto.Results{{Name: "node", Data: &node}, {Name: "row", Data: &row}}
+		if hasPayload.MatchString(statement) {
+			q.Result = proto.Results{{Name: "node", Data: &node}, {Name: "row", Data: &row}, {Name: "payload", Data: &payload}}
+		}
+		q.OnResult = func(context.Context, proto.Block) error { rows += int64(row.Rows()); return nil }
+	}
+	if err = c.Do(ctx, q); err != nil {
+		c.Close()
+		return rows, err
+	}
+	n.put(c)
+	return rows, nil
+}
+
+var (
+	hasPayload = regexp.MustCompile(`row_bytes=`)
+	verdict    = regexp.MustCompile(`(refused|failed) \(([A-Z_]+)`)
+	comeBack   = regexp.MustCompile(`come back in ([0-9]+) ms`)
+)
+
+// nativeWord reads the final answer's kind, reason and come-back time from an Exception; what a node itself says of a
+// statement is a failure.
+func nativeWord(err error) (final, reason string, back time.Duration) {
+	var e *ch.Exception
+	if err == nil {
+		return "served", "", 0
+	}
+	if !errors.As(err, &e) {
+		return "", "", 0
+	}
+	if m := verdict.FindStringSubmatch(e.Message); m != nil {
+		if b := comeBack.FindStringSubmatch(e.Message); b != nil {
+			ms, _ := strconv.Atoi(b[1])
+			back = time.Duration(ms) * time.Millisecond
+		}
+		return m[1], m[2], back
+	}
+	return "failed", "STATEMENT", 0
+}
--- a/day/print.go
+++ b/day/print.go
@@ -24,11 +24,35 @@
 	}
 	fmt.Fprintf(w, "\nattempts seen at nodes\t%d\nfurther attempts among them\t%d\n", r.Attempts, r.Further)
 	fmt.Fprintf(w, "last attempt seen after a drain was told\t%s\nresponses turned down\t%d\n", ms(r.Latest), r.Nacks)
+	fmt.Fprintf(w, "asked over the native protocol\t%d\n", r.Natively)
+	if r.Came > 0 {
+		fmt.Fprintf(w, "came back when told to\t%d, served %d (%.3f)\n", r.Came, r.CameOK, float64(r.CameOK)/float64(r.Came))
+	}
+	before := 0.0
+	for _, b := range r.Pauses {
+		if n := b[1] - before; n > 0 {
+			fmt.Fprintf(w, "pauses of the loop at a change, up to %v\t%.0f\n", time.Duration(b[0]*1e9), n)
+		}
+		before = b[1]
+	}
 	for _, x := range r.Sets {
 		fmt.Fprintf(w, "in force at the end\t%s\n", x)
 	}
 	for _, k := range slices.Sorted(maps.Keys(r.Reasons)) {
-		fmt.Fprintf(w, "reason %s\t%d\n", k, r.Reasons[k])
+		fmt.Fprintf(w, "reason %s\t%d, such as: %.150s\n", k, r.Reasons[k], r.Samples[k])
+	}
+	return w.Flush()
+}
+
+// PrintPair compares the service of two days by client group: shares served and in time, and the 99th percentile.
+func PrintPair(out io.Writer, without, with *Report) error {
+	w := tabwriter.NewWriter(out, 0, 4, 2, ' ', 0)
+	fmt.Fprintf(w, "\nclients\tserved without\tserved with\tin time without\tin time with\tp99 with/without\n")
+	share := func(n, of int) float64 { return float64(n) / float64(max(of, 1)) }
+	for i, a := range without.Classes {
+		b := with.Classes[i]
+		fmt.Fprintf(w, "%s\t%.3f\t%.3f\t%.3f\t%.3f\t%.2f\n", a.Name, share(a.Served, a.Asked), share(b.Served, b.Asked),
+			share(a.InTime, a.Asked), share(b.InTime, b.Asked), float64(b.P99)/float64(max(a.P99, 1)))
 	}
 	return w.Flush()
 }
--- a/front/clickhouse/insert.go
+++ b/front/clickhouse/insert.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"embershunt/classify"
 	"embershunt/dispatch"
 	"embershunt/front"
 	"embershunt/internal/native"
@@ -123,5 +124,6 @@
 
 // sampleKey names what the columns of an INSERT depend on.
 func sampleKey(w *native.Call, user string) string {
-	return strings.Join([]string{user, w.Database, strconv.Itoa(w.Revision), strconv.FormatBool(w.Query.Compression), w.Query.Text}, "\x00")
+	return strings.Join([]string{user, w.Database, strconv.Itoa(w.Revision), strconv.FormatBool(w.Query.Compression),
+		classify.Bare(w.Query.Text)}, "\x00")
 }
--- a/standin/control.go
+++ b/standin/control.go
@@ -22,6 +22,7 @@
 // Listed is one node as the control service lists it.
 type Listed struct {
 	Name, Address, Hall, Kind string
+	Native                    string
 	Draining                  bool
 	Started                   time.Time
 }
@@ -394,6 +395,9 @@
 		state = corev3.HealthStatus_DRAINING
 	}
 	fields := map[string]*structpb.Value{"name": structpb.NewStringValue(r.Name), "kind": structpb.NewStringValue(r.Kind)}
+	if r.Native != "" {
+		fields["native"] = structpb.NewStringValue(r.Native)
+	}
 	if !r.Started.IsZero() {
 		fields["started"] = structpb.NewNumberValue(float64(r.Started.UnixMicro()) / 1e6)
 	}
