Native front: one goroutine a connection; keyed updates over Flight SQL

Need: three goroutines a connection; ProfileEvents made a reader each time; that keyed updates run once end to end was not seen over Flight SQL. Change: a client is watched in the background only when a query takes more than 2 ms. A test loses the answer of a keyed update: the other node of its group drops the repeat, beyond the group none is sent.

--- a/dispatcher/dispatcher_test.go
+++ b/dispatcher/dispatcher_test.go
@@ -33,7 +33,7 @@
 
 const rigConfig = `{
   "listen": {"flightsql": "127.0.0.1:0", "native": "127.0.0.1:0"},
-  "classes": [
+  "classes": [%s
     {"name": "lookup", "aim": "750ms", "aim_stretch": 1.5, "deadline": "4s", "window": "1m"},
     {"name": "report", "worth": 10, "aim": "2s", "deadline": "15s", "threads": 4, "late_worth": 0.4}
   ],
@@ -48,7 +48,7 @@
 }
 
 // newRigWith has its node list from where source says, given the rows of a list.
-func newRigWith(t testing.TB, nodes int, source func(rows string) string, more string) *rig {
+func newRigWith(t testing.TB, nodes int, source func(rows string) string, more string, classes ...string) *rig {
 	t.Helper()
 	r := &rig{t: t, ended: make(chan error, 1)}
 	cores := 8
@@ -69,7 +69,7 @@
 	if !strings.Contains(more, `"users"`) {
 		more += `, "any_user": true`
 	}
-	cfg, err := config.Parse("rig", fmt.Appendf(nil, rigConfig, source(strings.Join(rows, ",")), more))
+	cfg, err := config.Parse("rig", fmt.Appendf(nil, rigConfig, strings.Join(classes, ""), source(strings.Join(rows, ",")), more))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/dispatcher/insert_test.go
+++ b/dispatcher/insert_test.go
@@ -255,6 +255,59 @@
 	}
 }
 
+// An update of a class that is keyed goes to another node of its group when its answer was lost, over Flight SQL too, and
+// runs once; beyond the group it is not sent again.
+func TestKeyedUpdatesOverFlightSQL(t *testing.T) {
+	for _, group := range []string{"all", "hall"} {
+		t.Run(group, func(t *testing.T) {
+			r := newRigWith(t, 2, func(rows string) string {
+				parts := strings.Split(rows, "},")
+				parts[0] = strings.Replace(parts[0], `"name"`, `"hall": "a", "name"`, 1)
+				parts[1] = strings.Replace(parts[1], `"name"`, `"hall": "b", "name"`, 1)
+				return `{"list": [` + strings.Join(parts, "},") + `]}`
+			}, `, "halls": ["a", "b"], "limits": {"attempts": 3}`, fmt.Sprintf(`{"name": "load", "aim": "3s", "late_worth": 0.5,
+				"deadline": "4s", "updates": "keyed", "window": "1m", "group": %q},`, group))
+			all := standin.NewTokens(time.Minute)
+			for _, n := range r.nodes {
+				if n.Tokens = all; group == "hall" {
+					n.Tokens = standin.NewTokens(time.Minute)
+				}
+				n.Set(standin.Faults{Lost: true})
+			}
+			ctx, cancel := context.WithTimeout(t.Context(), 3*time.Second)
+			defer cancel()
+			statement := "INSERT INTO t VALUES (1) /* class=load work_ms=5 cost_ms=5 rows=1 */"
+			done := make(chan error, 1)
+			go func() {
+				_, err := r.client.ExecuteUpdate(ctx, statement)
+				done <- err
+			}()
+			first := r.seenBy(statement)
+			for _, n := range r.nodes {
+				if n != first {
+					n.Set(standin.Faults{})
+				}
+			}
+			err := <-done
+			ran, dropped := 0, 0
+			for _, s := range r.seen(statement) {
+				if s.Ran {
+					ran++
+				}
+				if s.Dropped {
+					dropped++
+				}
+			}
+			if group == "all" && (err != nil || ran != 1 || dropped < 1) {
+				t.Errorf("%v, ran %d times, dropped %d, want it served by the other node, which drops it", err, ran, dropped)
+			}
+			if group == "hall" && (err == nil || ran != 1) {
+				t.Errorf("%v, ran %d times, want it failed, and run once", err, ran)
+			}
+		})
+	}
+}
+
 // rawNative is a native client that a test plays packet by packet.
 type rawNative struct {
 	t testing.TB
--- a/fleet/native.go
+++ b/fleet/native.go
@@ -187,8 +187,8 @@
 }
 
 // cost adds what a node tells of a query's work and memory; what cannot be read is left out.
-func (t *nativeAttempt) cost(block []byte) {
-	p, err := native.ReadProfile(block, t.call.Revision)
+func (t *nativeAttempt) cost(r *native.Reader, block []byte) {
+	p, err := r.ReadProfile(block, t.call.Revision)
 	if err != nil {
 		return
 	}
@@ -342,7 +342,7 @@
 		more := c.r.Buffered()
 		switch p.Code {
 		case native.ServerProfileEvents:
-			t.cost(p.Raw[p.Body:])
+			t.cost(c.r, p.Raw[p.Body:])
 			continue
 		case native.ServerLog, native.ServerPong, native.ServerTableColumns:
 			continue // the node's own affairs
--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -144,6 +144,10 @@
 	r        *native.Reader
 	revision int
 	hello    native.Hello
+	steps    chan step // what a read in the background saw
+	reading  bool      // there is one
+	group    errgroup.Group
+	patience *time.Timer
 	held     dispatch.Held // of the present query's rows and tables; the store's lock guards it
 
 	mu      sync.Mutex // of what is written
@@ -169,14 +173,10 @@
 	if err := s.shake(); err != nil {
 		return err
 	}
-	steps := make(chan step)
-	group, inner := errgroup.WithContext(ctx)
-	group.Go(func() error { return s.read(inner, steps) })
-	group.Go(func() error {
-		defer s.conn.SetReadDeadline(time.Unix(1, 0)) // ends the reader
-		return s.play(inner, steps)
-	})
-	err := group.Wait()
+	s.steps = make(chan step, 1)
+	err := s.play(ctx)
+	s.conn.SetReadDeadline(time.Unix(1, 0)) // ends a read in the background
+	s.group.Wait()
 	if s.spoke {
 		s.linger()
 	}
@@ -239,38 +239,50 @@
 	s.write((&native.Exception{Code: code, Name: "DB::Exception", Message: "DB::Exception: " + text}).Encode())
 }
 
-// read reads the client's packets. While a query runs it goes on, so that a cancel and the client's end are seen at once.
-func (s *session) read(ctx context.Context, steps chan<- step) error {
-	defer close(steps)
-	for {
-		var st step
-		if st.code, st.err = s.r.ReadClient(); st.err == nil {
-			switch st.code {
-			case native.ClientQuery:
-				if st.query, st.err = s.r.ReadQuery(s.revision); st.err == nil {
-					s.r.Packed = st.query.Compression
-					st.tables, st.err = s.tables()
-				}
-			case native.ClientData:
-				if _, st.block, st.err = s.r.ReadClientData(s.revision); st.err == nil {
-					if st.err = s.holds(len(s.r.Raw())); st.err == nil {
-						st.data = bytes.Clone(s.r.Raw())
-					}
-				}
-			case native.ClientPing, native.ClientCancel:
-			default:
-				st.err = fmt.Errorf("packet %d has no place here", st.code)
-			}
-		}
-		select {
-		case steps <- st:
-		case <-ctx.Done():
-			return nil
+// next is the client's next packet.
+func (s *session) next() step {
+	if s.reading {
+		s.reading = false
+		return <-s.steps
+	}
+	return s.read()
+}
+
+// watch reads the client's next packet in the background, so that a cancel and the client's end are seen while a query runs;
+// steps gets it.
+func (s *session) watch() {
+	if s.reading {
+		return
+	}
+	s.reading = true
+	s.group.Go(func() error {
+		s.steps <- s.read() // there is room: one read at a time
+		return nil
+	})
+}
+
+// read reads one packet.
+func (s *session) read() (st step) {
+	if st.code, st.err = s.r.ReadClient(); st.err != nil {
+		return st
+	}
+	switch st.code {
+	case native.ClientQuery:
+		if st.query, st.err = s.r.ReadQuery(s.revision); st.err == nil {
+			s.r.Packed = st.query.Compression
+			st.tables, st.err = s.tables()
 		}
-		if st.err != nil {
-			return nil
+	case native.ClientData:
+		if _, st.block, st.err = s.r.ReadClientData(s.revision); st.err == nil {
+			if st.err = s.holds(len(s.r.Raw())); st.err == nil {
+				st.data = bytes.Clone(s.r.Raw())
+			}
 		}
+	case native.ClientPing, native.ClientCancel:
+	default:
+		st.err = fmt.Errorf("packet %d has no place here", st.code)
 	}
+	return st
 }
 
 // holds asks for room for what is read, and gives all of it back once the query is over.
@@ -303,13 +315,10 @@
 }
 
 // play answers what the reader saw, one query at a time.
-func (s *session) play(ctx context.Context, steps <-chan step) error {
+func (s *session) play(ctx context.Context) error {
 	defer s.front.store.release(&s.held)
 	for {
-		st, ok := <-steps
-		if !ok {
-			return nil
-		}
+		st := s.next()
 		switch {
 		case errors.Is(st.err, io.EOF):
 			return nil
@@ -326,7 +335,7 @@
 			s.refuse(101, "rows that no INSERT waits for")
 			return errUnasked
 		case st.code == native.ClientQuery:
-			err := s.query(ctx, st, steps)
+			err := s.query(ctx, st)
 			s.front.store.release(&s.held)
 			if err != nil {
 				return err
@@ -362,25 +371,33 @@
 		Tables: st.tables, Sink: s}}
 	c.Facts = classify.Facts{User: s.hello.User, Statement: q.Text, Command: "native.Query", Token: settings["insert_deduplication_token"],
 		Header: func(string) string { return "" }, Option: func(name string) string { return settings[name] }}
-	if v, err := strconv.ParseFloat(settings["max_execution_time"], 64); err == nil && v > 0 {
-		c.Left = time.Duration(v * float64(time.Second))
+	c.Left = time.Duration(positive(settings["max_execution_time"]) * float64(time.Second))
+	c.MB = positive(settings["max_memory_usage"]) / 1e6
+	return c
+}
+
+// positive reads a setting's number; 0 where it is absent, none, or not above 0.
+func positive(value string) float64 {
+	if value == "" {
+		return 0
 	}
-	if v, err := strconv.ParseFloat(settings["max_memory_usage"], 64); err == nil && v > 0 {
-		c.MB = v / 1e6
+	v, err := strconv.ParseFloat(value, 64)
+	if err != nil || !(v > 0 && v < 1e18) {
+		return 0
 	}
-	return c
+	return v
 }
 
 // query runs one query to its final answer.
-func (s *session) query(ctx context.Context, st step, steps <-chan step) error {
+func (s *session) query(ctx context.Context, st step) error {
 	s.mu.Lock()
 	s.over, s.partial = false, false
 	s.mu.Unlock()
 	call := s.call(st)
 	if classify.InsertsClientData(st.query.Text) {
-		return s.insert(ctx, call, steps)
+		return s.insert(ctx, call)
 	}
-	v, how, err := s.ask(ctx, call, steps)
+	v, how, err := s.ask(ctx, call)
 	return s.close(v, how, err)
 }
 
@@ -393,8 +410,11 @@
 	gone             // the client is gone, or is to go
 )
 
+// watchAfter is the time that a query takes before its client is watched: most are answered by then.
+const watchAfter = 2 * time.Millisecond
+
 // ask hands a call over and waits for its final answer; meanwhile it heeds what the client sends.
-func (s *session) ask(ctx context.Context, call front.Call, steps <-chan step) (v dispatch.Verdict, how ending, err error) {
+func (s *session) ask(ctx context.Context, call front.Call) (v dispatch.Verdict, how ending, err error) {
 	asked, err := s.front.desk.Begin(call)
 	if err != nil {
 		return v, answered, err
@@ -403,21 +423,29 @@
 		asked.Leave()
 		return <-asked.Done, how, err
 	}
+	if s.patience == nil {
+		s.patience = time.NewTimer(watchAfter)
+	} else {
+		s.patience.Reset(watchAfter)
+	}
+	defer s.patience.Stop()
 	for {
 		select {
 		case v := <-asked.Done:
 			return v, answered, nil
 		case <-ctx.Done():
 			return off(gone, nil)
-		case st, ok := <-steps:
+		case <-s.patience.C:
+			s.watch()
+		case st := <-s.steps:
+			s.reading = false
 			switch {
-			case !ok:
-				return off(gone, nil)
 			case st.err != nil:
 				return off(gone, st.err)
 			case st.code == native.ClientCancel:
 				return off(cancelled, nil)
 			case st.code == native.ClientPing: // answered by what follows
+				s.watch()
 			default:
 				return off(gone, fmt.Errorf("packet %d while a query runs", st.code))
 			}
--- a/front/clickhouse/insert.go
+++ b/front/clickhouse/insert.go
@@ -48,7 +48,7 @@
 // insert runs an INSERT whose rows come from the client. First the client is told which columns the table has, by a node or
 // from the cache; then its rows are held here until they are complete; only then is the query made, so that a client that
 // stalls keeps no node waiting and a further attempt has the rows at hand.
-func (s *session) insert(ctx context.Context, call front.Call, steps <-chan step) error {
+func (s *session) insert(ctx context.Context, call front.Call) error {
 	left, err := s.front.desk.Deadline(call)
 	if err != nil {
 		return s.close(dispatch.Verdict{}, answered, err)
@@ -62,7 +62,7 @@
 		first.Sample = true
 		ask := call
 		ask.Work, ask.Facts.Harmless = &first, true
-		v, how, err := s.ask(ctx, ask, steps)
+		v, how, err := s.ask(ctx, ask)
 		if how != answered || err != nil || v.Final != dispatch.Served {
 			return s.close(v, how, err)
 		}
@@ -72,12 +72,12 @@
 	if err := s.write(sample); err != nil {
 		return err
 	}
-	how, err := s.collect(steps, work, due)
+	how, err := s.collect(ctx, work, due)
 	if how != answered {
 		return s.close(dispatch.Verdict{}, how, err)
 	}
 	call.Left = max(time.Until(due), time.Millisecond)
-	v, how, err := s.ask(ctx, call, steps)
+	v, how, err := s.ask(ctx, call)
 	if v.Reason == dispatch.ReasonStatement { // perhaps the table has other columns by now
 		s.front.samples.Drop(key)
 	}
@@ -85,18 +85,20 @@
 }
 
 // collect takes the client's rows up to the empty block.
-func (s *session) collect(steps <-chan step, work *native.Call, due time.Time) (ending, error) {
+func (s *session) collect(ctx context.Context, work *native.Call, due time.Time) (ending, error) {
 	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
 	for {
+		s.watch()
 		select {
+		case <-ctx.Done():
+			return gone, nil
 		case <-timer.C:
 			s.refuse(159, "refused (CLIENT_STALLED): the rows of the INSERT did not come before its deadline; nothing was sent, trying again does no harm")
 			return gone, errStalled
-		case st, ok := <-steps:
+		case st := <-s.steps:
+			s.reading = false
 			switch {
-			case !ok:
-				return gone, nil
 			case st.err != nil:
 				s.refuseFor(st.err)
 				return gone, st.err
--- a/internal/native/compress_test.go
+++ b/internal/native/compress_test.go
@@ -233,6 +233,6 @@
 	f.Add(dataPacket(f, Newest, proto.Input{{Name: "l", Data: low}, {Name: "a", Data: lists}}, 1)[2:], Newest)
 	f.Fuzz(func(t *testing.T, b []byte, revision int) {
 		ReadValues(b, revision)
-		ReadProfile(b, revision)
+		NewReader(nil, 1<<20).ReadProfile(b, revision)
 	})
 }
--- a/internal/native/profile.go
+++ b/internal/native/profile.go
@@ -19,40 +19,42 @@
 )
 
 // ReadProfile reads the block of a ProfileEvents packet.
-func ReadProfile(block []byte, revision int) (p Profile, err error) {
-	r := NewReader(bytes.NewReader(block), len(block)+1)
-	r.packet = "ProfileEvents"
-	var names []string
-	var values, kinds []byte
+func (r *Reader) ReadProfile(block []byte, revision int) (p Profile, err error) {
+	if r.side == nil {
+		r.side = NewReader(nil, 1<<20)
+	}
+	in := r.side
+	in.r.Reset(bytes.NewReader(block))
+	in.begin("ProfileEvents")
+	var names, values, kinds []byte
 	rows := 0
-	err = r.walk(revision, func(n int) { rows = n }, func(name string, c column, raw []byte) error {
+	err = in.walk(revision, func(n int) { rows = n }, func(name string, c column, raw []byte) error {
 		switch {
 		case name == "name" && c.kind == text:
-			for len(raw) > 0 {
-				n, k := binary.Uvarint(raw)
-				names = append(names, string(raw[k:k+int(n)]))
-				raw = raw[k+int(n):]
-			}
+			names = bytes.Clone(raw)
 		case name == "value" && c.kind == fixed && c.width == 8:
-			values = raw
+			values = bytes.Clone(raw)
 		case name == "type" && c.kind == fixed && c.width == 1:
-			kinds = raw
+			kinds = bytes.Clone(raw)
 		}
 		return nil
 	})
 	if err != nil {
 		return p, err
 	}
-	if len(names) != rows || len(values) != 8*rows || len(kinds) != rows {
-		return p, r.wrong("columns", fmt.Sprintf("%d names, %d values, %d types", len(names), len(values)/8, len(kinds)),
+	if names == nil || len(values) != 8*rows || len(kinds) != rows {
+		return p, in.wrong("columns", fmt.Sprintf("%d bytes of names, %d values, %d types", len(names), len(values)/8, len(kinds)),
 			fmt.Sprintf("%d of each: name String, value Int64, type Enum8", rows))
 	}
-	for i, name := range names {
+	for i := range rows {
+		n, k := binary.Uvarint(names)
+		name := names[k : k+int(n)]
+		names = names[k+int(n):]
 		v := int64(binary.LittleEndian.Uint64(values[8*i:]))
 		switch {
-		case name == eventWork && kinds[i] == 1 && v > 0: // an increment
+		case string(name) == eventWork && kinds[i] == 1 && v > 0: // an increment
 			p.WorkUs += v
-		case name == eventPeak:
+		case string(name) == eventPeak:
 			p.Peak = max(p.Peak, v)
 		}
 	}
--- a/internal/native/reader.go
+++ b/internal/native/reader.go
@@ -83,6 +83,7 @@
 	types  map[string]column // read before
 	frames *frames
 	inner  *Reader // reads what the frames hold
+	side   *Reader // reads blocks that are for the dispatcher
 }
 
 // NewReader returns a Reader; a packet of more than most bytes is an error.
--- a/standin/node.go
+++ b/standin/node.go
@@ -273,6 +273,9 @@
 	number, _ := strconv.Atoi(first("embershunt-attempt"))
 	s := &Seen{Query: first("embershunt-query"), Attempt: number, Node: n.Name, At: time.Now(), Statement: statement,
 		Update: update}
+	if update { // over Flight SQL a query's own name tells its repeats
+		s.Token = s.Query
+	}
 	n.mark(func() { n.seen = append(n.seen, s) })
 	return s
 }
