--- a/dispatcher/rawnode_test.go
+++ b/dispatcher/rawnode_test.go
@@ -2,16 +2,20 @@
 
 import (
 	"bytes"
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"strings"
 	"sync"
 	"testing"
+	"time"
 
 	"github.com/ClickHouse/ch-go"
 
+	"embershunt/choice"
 	"embershunt/internal/native"
+	"embershunt/nodelist"
 	"embershunt/standin"
 )
 
@@ -271,3 +275,73 @@
 		t.Errorf("%d, %v", rows, err)
 	}
 }
+
+// A client calls a large answer off in the middle of its blocks and uses the connection again: what it reads up to the end
+// is whole packets, and the node is told.
+func TestCancelledInTheMiddleOfAnAnswer(t *testing.T) {
+	r := newRig(t, 1, "")
+	c := r.rawNative(t, native.Newest)
+	for range 3 {
+		c.ask("SELECT 1 /* rows=40000 row_bytes=500 */")
+		if p := c.until(native.ServerData); p.Code != native.ServerData {
+			t.Fatal(p.Code, p.Exception)
+		}
+		c.Write([]byte{native.ClientCancel})
+		p, rows := native.Packet{}, 0
+		for p = c.until(native.ServerData); p.Code == native.ServerData; p = c.until(native.ServerData) {
+			rows += p.Block.Rows
+		}
+		if p.Code != native.ServerEndOfStream || rows >= 40000 {
+			t.Fatalf("packet %d, %v, %d rows", p.Code, p.Exception, rows)
+		}
+		c.ask("SELECT 2 /* rows=3 */")
+		rows = 0
+		for p = c.until(native.ServerData); p.Code == native.ServerData; p = c.until(native.ServerData) {
+			rows += p.Block.Rows
+		}
+		if p.Code != native.ServerEndOfStream || rows != 3 {
+			t.Fatalf("the next query: packet %d, %v, %d rows", p.Code, p.Exception, rows)
+		}
+	}
+}
+
+// A node drains while connections to it are pooled: nothing new goes there, over neither; once it has left the list they
+// are closed.
+func TestDrainWithPooledConnections(t *testing.T) {
+	r := newRig(t, 2, "")
+	c := r.rawNative(t, native.Newest)
+	ask := func() {
+		t.Helper()
+		c.ask("SELECT 1 /* rows=1 */")
+		if p := c.until(native.ServerEndOfStream); p.Code != native.ServerEndOfStream {
+			t.Fatal(p.Exception)
+		}
+	}
+	for len(r.nodes[0].Seen()) == 0 {
+		ask()
+	}
+	set := func(drains bool) {
+		rows := []nodelist.Node{{ID: "node-1", Address: r.nodes[1].Address, Native: r.nodes[1].Native}}
+		if drains {
+			rows = append(rows, nodelist.Node{ID: "node-0", Address: r.nodes[0].Address, Native: r.nodes[0].Native, State: choice.Draining})
+		}
+		if err := r.d.Fleet().SetNodes(rows); err != nil {
+			t.Fatal(err)
+		}
+	}
+	set(true)
+	before := len(r.nodes[0].Seen())
+	for range 30 {
+		ask()
+	}
+	if n := len(r.nodes[0].Seen()) - before; n > 0 {
+		t.Errorf("%d queries reached the node that drains", n)
+	}
+	set(false)
+	ask()
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	if r.nodes[0].Await(ctx, func([]standin.Seen) bool { return r.nodes[0].NativeConns() == 0 }) != nil {
+		t.Errorf("%d connections to the node that left", r.nodes[0].NativeConns())
+	}
+}
--- a/standin/native.go
+++ b/standin/native.go
@@ -32,6 +32,8 @@
 			stop := context.AfterFunc(ctx, func() { conn.Close() })
 			defer stop()
 			defer conn.Close()
+			n.mark(func() { n.conns++ })
+			defer n.mark(func() { n.conns-- })
 			(&nativeServer{node: n, life: v, conn: conn, w: bufio.NewWriterSize(conn, 64<<10)}).serve(ctx)
 		}()
 	}
--- a/standin/node.go
+++ b/standin/node.go
@@ -70,6 +70,7 @@
 	fault Faults
 	seen  []*Seen
 	news  chan struct{} // closed whenever seen changes
+	conns int           // of the native protocol
 }
 
 // life is one process life of a node.
@@ -280,6 +281,13 @@
 	return s
 }
 
+// NativeConns is the number of open connections of the native protocol.
+func (n *Node) NativeConns() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.conns
+}
+
 // mark changes what was seen and wakes those that await it.
 func (n *Node) mark(change func()) {
 	n.mu.Lock()
