--- a/dispatcher/rawnode_test.go
+++ b/dispatcher/rawnode_test.go
@@ -1,11 +1,16 @@
 package dispatcher_test
 
 import (
+	"bufio"
 	"bytes"
 	"context"
 	"fmt"
 	"io"
 	"net"
+	"os"
+	"os/exec"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -250,30 +255,81 @@
 	}
 }
 
-// Many idle connections cost little, and a query among them is answered; they are gone when their clients are.
+// idleEnv names the address and count for the process that holds idle clients.
+const idleEnv = "EMBERSHUNT_IDLE"
+
+// TestHoldIdleClients is no test: it is the process that TestIdleNativeConnections starts for its clients.
+func TestHoldIdleClients(t *testing.T) {
+	address, count, ok := strings.Cut(os.Getenv(idleEnv), " ")
+	if !ok {
+		t.Skip("started by another test")
+	}
+	n, err := strconv.Atoi(count)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for range n {
+		c, err := native.Dial(t.Context(), address, native.Hello{Name: "idle", User: "u"})
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+	}
+	fmt.Println("all up")
+	io.Copy(io.Discard, os.Stdin)
+}
+
+// Many idle connections, of another process, cost little; queries beside them are answered; they are gone when their
+// clients are.
 func TestIdleNativeConnections(t *testing.T) {
 	r := newRig(t, 1, "")
 	n := 2000
 	if *many > 100 {
 		n = 10000
 	}
-	var clients []*rawNative
-	for range n {
-		clients = append(clients, r.rawNative(t, native.Newest))
+	heap := func() int64 {
+		var m runtime.MemStats
+		runtime.GC()
+		runtime.ReadMemStats(&m)
+		return int64(m.HeapInuse + m.StackInuse)
 	}
-	last := clients[n-1]
-	last.ask("SELECT 1 /* rows=2 */")
-	if p := last.until(native.ServerEndOfStream); p.Code != native.ServerEndOfStream {
-		t.Error(p.Exception)
+	before := heap()
+	cmd := exec.CommandContext(t.Context(), os.Args[0], "-test.run", "^TestHoldIdleClients$")
+	cmd.Env = append(os.Environ(), fmt.Sprintf("%s=%s %d", idleEnv, r.d.NativeAddress(), n))
+	in, err := cmd.StdinPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	line, _ := bufio.NewReader(out).ReadString('\n')
+	if line != "all up\n" {
+		t.Fatalf("the clients said %q", line)
 	}
 	if got := r.d.Native().Conns(); got != n {
 		t.Errorf("%d connections, want %d", got, n)
 	}
+	t.Logf("%d idle connections take %d bytes each", n, (heap()-before)/int64(n))
 	c := r.native(t, "u")
 	defer c.Close()
 	if rows, err := selectNative(t.Context(), c, "SELECT 1 /* rows=2 */"); err != nil || rows != 2 {
 		t.Errorf("%d, %v", rows, err)
 	}
+	in.Close()
+	io.Copy(io.Discard, out)
+	if err := cmd.Wait(); err != nil {
+		t.Error(err)
+	}
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Second)
+	defer cancel()
+	if err := r.d.Native().AwaitConns(ctx, 1); err != nil {
+		t.Errorf("%d connections are left, want 1", r.d.Native().Conns())
+	}
 }
 
 // A client calls a large answer off in the middle of its blocks and uses the connection again: what it reads up to the end
--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -48,6 +48,7 @@
 
 	mu    sync.Mutex
 	conns map[net.Conn]bool
+	left  chan struct{} // closed when one has ended
 }
 
 // New returns a front that hands its queries over at a desk.
@@ -76,7 +77,7 @@
 	if o.SampleMost == 0 {
 		o.SampleMost = 4096
 	}
-	return &Front{opt: o, desk: d, conns: map[net.Conn]bool{}, samples: front.NewCache(o.SampleMost, o.SampleLife),
+	return &Front{opt: o, desk: d, conns: map[net.Conn]bool{}, left: make(chan struct{}), samples: front.NewCache(o.SampleMost, o.SampleLife),
 		store: store{books: dispatch.NewHolding(int64(o.InsertMost), int64(o.InsertsHeld)), begin: time.Now()}}
 }
 
@@ -102,7 +103,7 @@
 			}
 			group.Go(func() error {
 				defer f.leave(conn)
-				s := &session{front: f, conn: conn, r: native.NewReader(conn, f.opt.MaxPacket), out: bufio.NewWriterSize(conn, 16<<10)}
+				s := &session{front: f, conn: conn, r: native.NewReaderSize(conn, f.opt.MaxPacket, idleBuffer), out: bufio.NewWriterSize(conn, idleBuffer)}
 				if err := s.serve(ctx); err != nil {
 					f.opt.Log.Debug("native connection ended", "client", conn.RemoteAddr(), "error", err)
 				}
@@ -128,8 +129,31 @@
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.conns, c)
+	close(f.left)
+	f.left = make(chan struct{})
 }
 
+// AwaitConns returns when no more than so many connections are open, or with the context's error.
+func (f *Front) AwaitConns(ctx context.Context, most int) error {
+	for {
+		f.mu.Lock()
+		n, left := len(f.conns), f.left
+		f.mu.Unlock()
+		if n <= most {
+			return nil
+		}
+		select {
+		case <-left:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// idleBuffer is the size of each of a connection's two buffers: thousands of clients hold theirs without asking anything, and
+// what is larger passes them by.
+const idleBuffer = 4 << 10
+
 // Conns is the number of open connections.
 func (f *Front) Conns() int {
 	f.mu.Lock()
--- a/internal/native/reader.go
+++ b/internal/native/reader.go
@@ -87,8 +87,11 @@
 }
 
 // NewReader returns a Reader; a packet of more than most bytes is an error.
-func NewReader(r io.Reader, most int) *Reader {
-	return &Reader{r: bufio.NewReaderSize(r, min(64<<10, most+1)), most: most, packet: "connection"}
+func NewReader(r io.Reader, most int) *Reader { return NewReaderSize(r, most, 64<<10) }
+
+// NewReaderSize is NewReader with a buffer of another size than 64 KiB.
+func NewReaderSize(r io.Reader, most, size int) *Reader {
+	return &Reader{r: bufio.NewReaderSize(r, min(size, most+1)), most: most, packet: "connection"}
 }
 
 // Buffered tells that more has come already than was read.
