A request may be pinned to the engine that holds its session's state

Need: transactions and temporary tables live on one node; a statement must go there and nowhere else, while it drains too as long as the grace allows, and be refused at once where it cannot be taken.

--- a/choice/api.go
+++ b/choice/api.go
@@ -153,8 +153,9 @@
 	Tables   int64   // group of tables it reads or writes
 	Key      int64   // for classes in turn
 	HasKey   bool
-	Retry    bool  // a client's repeat, where clients mark them
-	Protocol uint8 // bit of the protocol that an engine must speak; 0: any will do
+	Retry    bool   // a client's repeat, where clients mark them
+	Protocol uint8  // bit of the protocol that an engine must speak; 0: any will do
+	Only     string // the engine that holds its session's state, "" where there is none
 	Due      Micros
 }
 
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -161,6 +161,10 @@
 	q.aim = g.now + c.Aim + Micros(c.AimStretch*q.est/c.threads*micros)
 	g.askCredit = min(askMost, g.askCredit+askShare*min(1, max(askFloor, g.all.busy*g.all.busy)))
 	g.join(q)
+	if q.Only != "" && g.hopeless(q) {
+		g.giveUp(q)
+		return
+	}
 	g.admit(q)
 }
 
@@ -395,7 +399,8 @@
 // allowed keeps placement, drains, the protocol and the groups of keyed requests.
 func (g *Gateway) allowed(q *request, e *engine) bool {
 	c := q.class
-	if e.State != Healthy || q.Protocol&^e.Speaks != 0 ||
+	if q.Only != "" && q.Only != e.ID || q.Protocol&^e.Speaks != 0 ||
+		e.State != Healthy && (q.Only == "" || e.State != Draining || g.now >= e.drainBy) ||
 		c.Zones != nil && !slices.Contains(c.Zones, e.Zone) ||
 		c.Kinds != nil && !slices.Contains(c.Kinds, e.Kind) {
 		return false
@@ -566,14 +571,16 @@
 	for _, q := range g.byWorth() {
 		if g.hopeless(q) {
 			g.giveUp(q)
-		} else if full[q.Class] {
+		} else if full[q.Class] && q.Only == "" {
 			continue
 		} else if !q.admitted {
 			g.admit(q)
 		} else if e := g.pick(q); e != nil {
 			g.send(q, e)
 		}
-		full[q.Class] = q.held && g.mayStart(q) && !g.asking(q, askWait)
+		if q.Only == "" { // a queue behind one engine holds nobody else
+			full[q.Class] = q.held && g.mayStart(q) && !g.asking(q, askWait)
+		}
 	}
 }
 
@@ -582,6 +589,9 @@
 	if q.open > 0 {
 		return false
 	}
+	if e := g.byID[q.Only]; q.Only != "" && (e == nil || !g.allowed(q, e)) { // nobody else has its state
+		return true
+	}
 	if len(q.attempts) >= g.set.MaxAttempts || q.class.Effect == Unsafe && q.ran != nil {
 		return true
 	}
@@ -806,6 +816,9 @@
 			e.coldSince, e.suspect, e.warm = max(r.Started, e.coldSince), false, nil
 			e.faults, e.slow = 0, g.crowd.v
 		}
+		if r.State == Draining && e.State != Draining {
+			e.drainBy = g.now + g.set.DrainGrace - g.guard()
+		}
 		e.Engine = r
 	}
 	g.sortEngines()
--- a/choice/state.go
+++ b/choice/state.go
@@ -145,6 +145,7 @@
 	suspect       bool
 	trickleAt     Micros
 	coldSince     Micros
+	drainBy       Micros          // what has its state there may be sent until then, while it drains
 	cold          []store         // for each class, while cold
 	warm          []int64         // groups read last, newest first
 	probeAt       Micros          // last probe
