--- a/config/config.go
+++ b/config/config.go
@@ -18,27 +18,28 @@
 
 // File is a configuration as it is written. docs/operators.md describes each field.
 type File struct {
-	Name    string   `json:"name"`
-	Halls   []string `json:"halls"`
-	Hall    string   `json:"hall"`
-	Peers   int      `json:"dispatchers"` // that share the fleet, this one included
-	Number  int      `json:"number"`      // of this one among them, from 0
-	Listen  Listen   `json:"listen"`
-	Keys    []string `json:"keys"` // hex, 32 bytes each; the first seals, all open
-	AnyUser bool     `json:"any_user"`
-	Users   []User   `json:"users"`
-	Nodes   Nodes    `json:"nodes"`
-	Kinds   []Kind   `json:"kinds"`
-	Classes []Class  `json:"classes"`
-	Default string   `json:"default_class"`
-	Tenants []Tenant `json:"tenants"`
-	Limits  Limits   `json:"limits"`
-	Rules   []Rule   `json:"rules"`
-	NoHints bool     `json:"no_hints"` // hint comments and headers are not heeded
-	Sending Sending  `json:"sending"`
-	Front   Front    `json:"front"`
-	Log     Log      `json:"log"`
-	Control *Control `json:"control"` // streams node list and settings; nodes is left out then
+	Name     string   `json:"name"`
+	Halls    []string `json:"halls"`
+	Hall     string   `json:"hall"`
+	Peers    int      `json:"dispatchers"` // that share the fleet, this one included
+	Number   int      `json:"number"`      // of this one among them, from 0
+	Listen   Listen   `json:"listen"`
+	Keys     []string `json:"keys"` // hex, 32 bytes each; the first seals, all open
+	AnyUser  bool     `json:"any_user"`
+	Users    []User   `json:"users"`
+	Nodes    Nodes    `json:"nodes"`
+	Kinds    []Kind   `json:"kinds"`
+	Classes  []Class  `json:"classes"`
+	Default  string   `json:"default_class"`
+	Tenants  []Tenant `json:"tenants"`
+	Limits   Limits   `json:"limits"`
+	Rules    []Rule   `json:"rules"`
+	NoHints  bool     `json:"no_hints"` // hint comments and headers are not heeded
+	Sending  Sending  `json:"sending"`
+	Front    Front    `json:"front"`
+	Sessions Sessions `json:"sessions"`
+	Log      Log      `json:"log"`
+	Control  *Control `json:"control"` // streams node list and settings; nodes is left out then
 }
 
 // Listen has the addresses served.
@@ -175,6 +176,17 @@
 	InsertsHeld  int      `json:"held_insert_bytes"` // of all of them together, until they have their answers
 }
 
+// Sessions bounds what has its state on one node: transactions.
+type Sessions struct {
+	Most      int      `json:"most"`
+	PerTenant int      `json:"per_tenant"` // 0: no limit of its own
+	PerNode   int      `json:"per_node"`   // of this dispatcher; 0: no limit of its own
+	Idle      Duration `json:"idle"`       // without a statement: rolled back
+	Age       Duration `json:"age"`        // since its begin: rolled back; its token is valid for so long
+	Spread    Duration `json:"spread"`     // clients of a lost node are told to come back over this time
+	Keep      Duration `json:"keep"`       // how long an ended one is remembered, to tell its client why
+}
+
 // Log says what is logged.
 type Log struct {
 	Level  string `json:"level"`  // debug, info, warn or error
@@ -292,6 +304,12 @@
 	or(&r.MaxStatement, 2<<20)
 	or(&r.MaxParams, 256<<10)
 	or(&r.InsertMost, 64<<20)
+	e := &f.Sessions
+	or(&e.Most, 100000)
+	or(&e.Idle, Duration(5*time.Minute))
+	or(&e.Age, Duration(time.Hour))
+	or(&e.Spread, Duration(5*time.Second))
+	or(&e.Keep, Duration(time.Minute))
 	or(&r.InsertsHeld, 512<<20)
 	if k := f.Control; k != nil {
 		or(&k.Keep, 10)
@@ -434,6 +452,13 @@
 	}
 	within("front.max_statement_bytes", float64(f.Front.MaxStatement), 1024, 64<<20)
 	within("front.max_parameter_bytes", float64(f.Front.MaxParams), 1024, 64<<20)
+	within("sessions.most", float64(f.Sessions.Most), 1, 1e7)
+	within("sessions.per_tenant", float64(f.Sessions.PerTenant), 0, 1e7)
+	within("sessions.per_node", float64(f.Sessions.PerNode), 0, 1e7)
+	span("sessions.idle", f.Sessions.Idle, 10*time.Millisecond, 24*time.Hour)
+	span("sessions.age", f.Sessions.Age, 10*time.Millisecond, 24*time.Hour)
+	span("sessions.spread", f.Sessions.Spread, 0, time.Hour)
+	span("sessions.keep", f.Sessions.Keep, 0, time.Hour)
 	within("front.max_insert_bytes", float64(f.Front.InsertMost), 1<<10, 1<<40)
 	within("front.held_insert_bytes", float64(f.Front.InsertsHeld), float64(f.Front.InsertMost), 1<<40)
 	within("front.schema_most", float64(f.Front.SchemaMost), 1, 1e6)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -189,7 +189,7 @@
 		}
 		c.observe.Taken(q)
 		c.events = append(c.events, choice.Request{ID: q.ID, Class: q.Class, Tenant: q.Tenant, Cost: q.Cost,
-			MemoryMB: q.MemoryMB, Tables: q.Tables, Key: q.Key, HasKey: q.HasKey, Retry: q.Retry, Due: q.Due, Protocol: q.Protocol})
+			MemoryMB: q.MemoryMB, Tables: q.Tables, Key: q.Key, HasKey: q.HasKey, Retry: q.Retry, Due: q.Due, Protocol: q.Protocol, Only: q.Only})
 	}
 }
 
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -22,6 +22,7 @@
 	HasKey   bool
 	Retry    bool   // a client's marked repeat
 	Protocol uint8  // bit of nodelist.Speaks that a node must have
+	Only     string // the node that holds its session's state; "": none
 	Due      Micros // the final answer is owed by then
 	Work     any    // what a node is to do; known to the front and the fleet alone
 	Client   Client
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -30,6 +30,7 @@
 	"embershunt/front/clickhouse"
 	"embershunt/front/flightsql"
 	"embershunt/internal/seal"
+	"embershunt/session"
 )
 
 // Dispatcher is one dispatcher. Run it once.
@@ -40,6 +41,7 @@
 	loop     *dispatch.Loop
 	fleet    *fleet.Fleet
 	desk     *front.Desk
+	sessions *front.Sessions
 	front    *flightsql.Front
 	native   *clickhouse.Front
 	natives  net.Listener
@@ -105,11 +107,17 @@
 	}
 	r := &f.Front
 	d.desk = front.NewDesk(d.loop, d.clock, tables(cfg, 0))
-	d.front = flightsql.New(flightsql.Options{Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
+	e := &f.Sessions
+	d.sessions = front.NewSessions(d.desk, d.clock, session.Limits{All: e.Most, PerTenant: e.PerTenant, PerNode: e.PerNode,
+		Idle: e.Idle.D().Microseconds(), Age: e.Age.D().Microseconds(), Spread: e.Spread.D().Microseconds(), Keep: e.Keep.D().Microseconds(),
+		Grace: max(f.Limits.DrainGrace.D()-sessionMargin, 0).Microseconds()}, d.fleet)
+	d.fleet.OnNodes(d.sessions.SetNodes)
+	d.front = flightsql.New(flightsql.Options{Sessions: d.sessions, Age: e.Age.D(), Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
 		SchemaMost: r.SchemaMost, PassHeaders: f.Sending.PassHeaders}, d.desk)
 	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame, Revision: d.fleet.NativeRevision,
 		InsertMost: r.InsertMost, InsertsHeld: r.InsertsHeld, SampleLife: r.SchemaLife.D(), SampleMost: r.SchemaMost}, d.desk)
 	observer.watch(d.desk, d.fleet, d.native, r.InsertsHeld)
+	observer.watchSessions(d.sessions, e.Most)
 	d.server = grpc.NewServer(append(d.front.ServerOptions(),
 		// Clients that vanished are noticed within this time, so that nothing runs on for them.
 		grpc.KeepaliveParams(keepalive.ServerParameters{Time: 20 * time.Second, Timeout: 5 * time.Second}),
@@ -144,6 +152,9 @@
 	return d, nil
 }
 
+// sessionMargin is how long before the end of a drain's grace sessions on that node end: their last statement must have left.
+const sessionMargin = 100 * time.Millisecond
+
 // tables are what a configuration tells the front.
 func tables(cfg *config.Config, version uint64) front.Tables {
 	r := &cfg.File.Front
@@ -170,6 +181,9 @@
 // Native is the front for the ClickHouse native protocol.
 func (d *Dispatcher) Native() *clickhouse.Front { return d.native }
 
+// Sessions are those whose state one node holds.
+func (d *Dispatcher) Sessions() *front.Sessions { return d.sessions }
+
 // Fleet is the dispatcher's view of the query nodes.
 func (d *Dispatcher) Fleet() *fleet.Fleet { return d.fleet }
 
@@ -197,6 +211,16 @@
 		defer close(stop)
 		return d.loop.Run(ctx)
 	})
+	during, over := context.WithCancel(ctx)
+	group.Go(func() error {
+		defer over()
+		select {
+		case <-stop:
+		case <-ctx.Done():
+		}
+		return nil
+	})
+	group.Go(func() error { return d.sessions.Run(during) })
 	if d.natives != nil {
 		natives, end := context.WithCancel(ctx)
 		group.Go(func() error {
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -116,6 +116,28 @@
 			func() float64 { return f.LastSendAfterDrain().Seconds() }))
 }
 
+// watchSessions adds the figures of sessions.
+func (o *observer) watchSessions(s *front.Sessions, most int) {
+	o.registry.MustRegister(
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "sessions_held",
+			Help: "Sessions whose state a node holds, those that begin and end among them."},
+			func() float64 { _, held, _ := s.Status(); return float64(held) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "sessions_held_limit", Help: "Most of them."},
+			func() float64 { return float64(most) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "sessions_known",
+			Help: "Sessions remembered, ended ones among them."},
+			func() float64 { known, _, _ := s.Status(); return float64(known) }),
+		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "sessions_on_one_node",
+			Help: "Most sessions of this dispatcher on one node."}, func() float64 {
+			most := 0
+			_, _, by := s.Status()
+			for _, n := range by {
+				most = max(most, n)
+			}
+			return float64(most)
+		}))
+}
+
 func (o *observer) class(i int) string {
 	if i >= 0 && i < len(o.classes) {
 		return o.classes[i]
--- /dev/null
+++ b/dispatcher/transaction_test.go
@@ -0,0 +1,369 @@
+package dispatcher_test
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/apache/arrow-go/v18/arrow/flight"
+	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
+	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc/status"
+
+	"embershunt/choice"
+	"embershunt/internal/flightwire"
+	"embershunt/nodelist"
+	"embershunt/standin"
+)
+
+// told is what a session's failure says: reason, and whether a commit is known not to have run.
+func told(err error) (reason, commit string) {
+	for _, d := range status.Convert(err).Details() {
+		if i, ok := d.(*errdetails.ErrorInfo); ok {
+			return i.GetReason(), i.GetMetadata()["commit"]
+		}
+	}
+	return fmt.Sprint(err), ""
+}
+
+// holder is the node that has a transaction open.
+func (r *rig) holder() int {
+	r.t.Helper()
+	for i, n := range r.nodes {
+		if n.Transactions() > 0 {
+			return i
+		}
+	}
+	r.t.Fatal("no node has a transaction open")
+	return -1
+}
+
+// settled waits until no node holds anything of a session, and checks what reached them.
+func (r *rig) settled() {
+	r.t.Helper()
+	ctx, cancel := context.WithTimeout(r.t.Context(), 10*time.Second)
+	defer cancel()
+	for _, n := range r.nodes {
+		if n.Await(ctx, func([]standin.Seen) bool { return n.Transactions() == 0 }) != nil {
+			r.t.Errorf("%s still holds %d transactions", n.Name, n.Transactions())
+		}
+		for s, k := range n.Tally().Commits {
+			if k > 1 {
+				r.t.Errorf("session %s was committed %d times", s, k)
+			}
+		}
+	}
+}
+
+func (r *rig) committed() (all []string) {
+	for _, n := range r.nodes {
+		all = append(all, n.Tally().Committed...)
+	}
+	return all
+}
+
+// An unmodified client's transactions: all statements reach the node that holds them, a commit makes them seen, a roll back
+// does not, savepoints and prepared statements are part of it.
+func TestTransactions(t *testing.T) {
+	r := newRig(t, 3, "")
+	for i := range 10 {
+		tx, err := r.client.BeginTransaction(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		at := r.nodes[r.holder()]
+		before := len(at.Seen())
+		for k := range 3 {
+			if _, err := tx.ExecuteUpdate(t.Context(), fmt.Sprintf("INSERT INTO t VALUES (%d) /* tx=%d */", k, i)); err != nil {
+				t.Fatal(err)
+			}
+			info, err := tx.Execute(t.Context(), "SELECT 1 /* rows=2 */")
+			if err != nil {
+				t.Fatal(err)
+			}
+			reader, err := r.client.DoGet(t.Context(), info.Endpoint[0].Ticket)
+			if err != nil {
+				t.Fatal(err)
+			}
+			for reader.Next() {
+			}
+			if reader.Err() != nil {
+				t.Fatal(reader.Err())
+			}
+			reader.Release()
+		}
+		if got := len(at.Seen()) - before; got != 6 {
+			t.Fatalf("%d of 6 statements reached the node that holds the transaction", got)
+		}
+		point, err := tx.BeginSavepoint(t.Context(), "p")
+		if err != nil {
+			t.Fatal(err)
+		}
+		prepared, err := tx.Prepare(t.Context(), "INSERT INTO t VALUES (9)")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := prepared.ExecuteUpdate(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		if err := tx.RollbackSavepoint(t.Context(), point); err != nil {
+			t.Fatal(err)
+		}
+		end := tx.Commit
+		if i%2 == 1 {
+			end = tx.Rollback
+		}
+		if err := end(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if n := len(r.committed()); n != 15 {
+		t.Errorf("%d statements were committed, want 15: %q", n, r.committed())
+	}
+	r.settled()
+	if _, held, _ := r.d.Sessions().Status(); held != 0 {
+		t.Errorf("%d sessions are held", held)
+	}
+}
+
+// What goes wrong in the middle of a transaction: one clear failure, never a move, no commit twice, nothing left behind.
+func TestTransactionsThatAreLost(t *testing.T) {
+	drains := func(r *rig, who int) func(i int, n *nodelist.Node) {
+		return func(i int, n *nodelist.Node) {
+			if i == who {
+				n.State = choice.Draining
+			}
+		}
+	}
+	list := func(r *rig, drop int, started map[int]time.Time, change func(i int, n *nodelist.Node)) {
+		var rows []nodelist.Node
+		for i, n := range r.nodes {
+			row := nodelist.Node{ID: n.Name, Address: n.Address, Native: n.Native, Started: started[i]}
+			if change != nil {
+				change(i, &row)
+			}
+			if i != drop {
+				rows = append(rows, row)
+			}
+		}
+		if err := r.d.Fleet().SetNodes(rows); err != nil {
+			t.Error(err)
+		}
+	}
+	cases := []struct {
+		name   string
+		more   string
+		play   func(r *rig, tx *flightsql.Txn, at int) error
+		reason string
+		commit string
+		effect int // statements committed in the end
+	}{
+		{"a drain between statements, past the grace", `, "limits": {"drain_grace": "400ms"}`, func(r *rig, tx *flightsql.Txn, at int) error {
+			list(r, -1, nil, drains(r, at))
+			if _, err := tx.ExecuteUpdate(r.t.Context(), "INSERT INTO t VALUES (2)"); err != nil {
+				return fmt.Errorf("within the grace: %w", err)
+			}
+			ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+			defer cancel()
+			r.nodes[at].Await(ctx, func([]standin.Seen) bool { return r.nodes[at].Transactions() == 0 }) // it is rolled back
+			return tx.Commit(r.t.Context())
+		}, "NODE_DRAINED", "known not to have run", 0},
+		{"a drain, and a commit within the grace", "", func(r *rig, tx *flightsql.Txn, at int) error {
+			list(r, -1, nil, drains(r, at))
+			return tx.Commit(r.t.Context())
+		}, "", "", 1},
+		{"the node restarts within a heartbeat", "", func(r *rig, tx *flightsql.Txn, at int) error {
+			r.nodes[at].Die()
+			if err := r.nodes[at].Start("", false); err != nil {
+				return err
+			}
+			list(r, -1, map[int]time.Time{at: r.nodes[at].Started()}, nil)
+			return tx.Commit(r.t.Context())
+		}, "NODE_RESTARTED", "known not to have run", 0},
+		{"the node leaves the list", "", func(r *rig, tx *flightsql.Txn, at int) error {
+			list(r, at, nil, nil)
+			_, err := tx.ExecuteUpdate(r.t.Context(), "INSERT INTO t VALUES (2)")
+			r.nodes[at].Die()
+			return err
+		}, "NODE_GONE", "known not to have run", 0},
+		{"the commit's answer is lost", "", func(r *rig, tx *flightsql.Txn, at int) error {
+			r.nodes[at].Set(standin.Faults{Lost: true})
+			ctx, cancel := context.WithTimeout(r.t.Context(), time.Second)
+			defer cancel()
+			id := tx.ID()
+			err := tx.Commit(ctx)
+			if reason, _ := told(actionError(r, id)); reason != "COMMIT_UNKNOWN" {
+				r.t.Errorf("afterwards: %s", reason)
+			}
+			return err
+		}, "COMMIT_UNKNOWN", "unknown", 1},
+		{"the node hangs with a statement out", "", func(r *rig, tx *flightsql.Txn, at int) error {
+			r.nodes[at].Set(standin.Faults{Hang: true})
+			ctx, cancel := context.WithTimeout(r.t.Context(), 500*time.Millisecond)
+			defer cancel()
+			_, err := tx.ExecuteUpdate(ctx, "INSERT INTO t VALUES (2)")
+			r.nodes[at].Set(standin.Faults{})
+			return err
+		}, "STATE_UNKNOWN", "known not to have run", 0},
+		{"idle for too long", `, "sessions": {"idle": "200ms"}`, func(r *rig, tx *flightsql.Txn, at int) error {
+			ctx, cancel := context.WithTimeout(r.t.Context(), 5*time.Second)
+			defer cancel()
+			r.nodes[at].Await(ctx, func([]standin.Seen) bool { return r.nodes[at].Transactions() == 0 })
+			return tx.Commit(r.t.Context())
+		}, "SESSION_IDLE", "known not to have run", 0},
+		{"committed twice by its client", "", func(r *rig, tx *flightsql.Txn, at int) error {
+			id := tx.ID()
+			if err := tx.Commit(r.t.Context()); err != nil {
+				return err
+			}
+			other, err := r.client.BeginTransaction(r.t.Context())
+			if err != nil {
+				return err
+			}
+			defer other.Rollback(r.t.Context())
+			return actionError(r, id)
+		}, "TRANSACTION_DONE", "known not to have run", 1},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			r := newRig(t, 3, c.more)
+			tx, err := r.client.BeginTransaction(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			if _, err := tx.ExecuteUpdate(t.Context(), "INSERT INTO t VALUES (1)"); err != nil {
+				t.Fatal(err)
+			}
+			reason, commit := "", ""
+			if err := c.play(r, tx, r.holder()); err != nil {
+				reason, commit = told(err)
+			}
+			if reason != c.reason || commit != c.commit {
+				t.Errorf("told %q, commit %q, want %q, %q", reason, commit, c.reason, c.commit)
+			}
+			if n := len(r.committed()); n != c.effect {
+				t.Errorf("%d statements were committed, want %d", n, c.effect)
+			}
+			for _, n := range r.nodes {
+				n.Set(standin.Faults{})
+			}
+			r.settled()
+			if m := r.misplaced(); len(m) > 0 {
+				t.Errorf("ran where the state was not: %q", m)
+			}
+			if _, err := r.query(t.Context(), "SELECT 1 /* rows=1 */"); err != nil {
+				t.Error("without a session: ", err)
+			}
+		})
+	}
+}
+
+func (r *rig) misplaced() (all []string) {
+	for _, n := range r.nodes {
+		all = append(all, n.Tally().Misplaced...)
+	}
+	return all
+}
+
+// A session used by two calls at once, a flood of begins that never end, and another dispatcher that takes one over.
+func TestTransactionsOfManyHands(t *testing.T) {
+	const key = `, "keys": ["000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"]`
+	r := newRig(t, 2, key+`, "sessions": {"most": 20, "idle": "30s"}`)
+	tx, err := r.client.BeginTransaction(t.Context())
+	if err != nil {
+		t.Fatal(err)
+	}
+	done := make(chan error, 1)
+	const slow = "INSERT INTO t VALUES (1) /* work_ms=300 */"
+	go func() {
+		_, err := tx.ExecuteUpdate(t.Context(), slow)
+		done <- err
+	}()
+	r.seenBy(slow)
+	_, err = tx.ExecuteUpdate(t.Context(), "INSERT INTO t VALUES (2)")
+	if reason, _ := told(err); reason != "SESSION_BUSY" {
+		t.Errorf("the second call: %v", err)
+	}
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	// The dispatcher restarts: the token says where the state is.
+	address := r.d.Address()
+	r.cancel()
+	r.ended <- <-r.ended
+	r.start(address)
+	ctx, cancel := context.WithTimeout(t.Context(), 5*time.Second)
+	defer cancel()
+	id := tx.ID()
+	if err := tx.Commit(ctx); err != nil {
+		t.Error("after a restart: ", err)
+	}
+	if n := len(r.committed()); n != 1 {
+		t.Errorf("%d statements were committed, want 1", n)
+	}
+	var open []*flightsql.Txn
+	var mu sync.Mutex
+	var group sync.WaitGroup
+	turned := 0
+	for range 60 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			tx, err := r.client.BeginTransaction(ctx)
+			mu.Lock()
+			defer mu.Unlock()
+			if err == nil {
+				open = append(open, tx)
+				return
+			}
+			if reason, _ := told(err); reason != "TOO_MANY_SESSIONS" || !hasComeBack(err) {
+				t.Errorf("turned away with %v", err)
+			}
+			turned++
+		}()
+	}
+	group.Wait()
+	if len(open) != 20 || turned != 40 {
+		t.Errorf("%d begun, %d turned away, want 20 and 40", len(open), turned)
+	}
+	if _, err := r.query(ctx, "SELECT 1 /* rows=1 */"); err != nil {
+		t.Error("beside them: ", err)
+	}
+	for _, tx := range open {
+		if err := tx.Rollback(ctx); err != nil {
+			t.Error(err)
+		}
+	}
+	r.settled()
+	// Forged and foreign tokens.
+	for name, token := range map[string]string{"forged": strings.Repeat("x", 60), "another purpose": string(id)[:20]} {
+		if err := actionError(r, []byte(token)); err == nil {
+			t.Errorf("%s: taken", name)
+		}
+	}
+}
+
+// actionError ends a transaction by hand and tells what came of it.
+func actionError(r *rig, token []byte) error {
+	s, err := r.client.Client.DoAction(r.t.Context(), endAction(token, 1))
+	if err != nil {
+		return err
+	}
+	for {
+		if _, err = s.Recv(); err != nil {
+			if err == io.EOF {
+				return nil
+			}
+			return err
+		}
+	}
+}
+
+func endAction(token []byte, how uint64) *flight.Action {
+	body := flightwire.AppendVarint(flightwire.AppendBytes(nil, 1, token), 2, how)
+	return &flight.Action{Type: "EndTransaction", Body: flightwire.NewCommand("ActionEndTransactionRequest", body)}
+}
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -14,6 +14,7 @@
 
 	"embershunt/choice"
 	"embershunt/dispatch"
+	"embershunt/nodelist"
 )
 
 // Options are the fleet's settings; zero values mean the defaults.
@@ -45,7 +46,8 @@
 	group   *errgroup.Group // every goroutine of the fleet
 	ctx     context.Context
 	stop    context.CancelFunc
-	refetch func() // asks the list's source again; nil: there is nothing to ask
+	onNodes func([]nodelist.Node) // told of each list that comes into force; nil: nobody
+	refetch func()                // asks the list's source again; nil: there is nothing to ask
 
 	mu       sync.Mutex
 	nodes    map[string]*node
@@ -87,6 +89,9 @@
 // OnFetch sets what Fetch and Watch call: it asks the list's source again and must not block.
 func (f *Fleet) OnFetch(ask func()) { f.refetch = ask }
 
+// OnNodes sets who is told of each node list that comes into force; it must not block.
+func (f *Fleet) OnNodes(told func([]nodelist.Node)) { f.onNodes = told }
+
 // Watch implements dispatch.Fleet. The watch is kept by the list's source; asking again renews it.
 func (f *Fleet) Watch() { f.Fetch() }
 
--- a/fleet/flight.go
+++ b/fleet/flight.go
@@ -7,6 +7,7 @@
 	"io"
 	"strconv"
 	"sync/atomic"
+	"time"
 
 	"google.golang.org/grpc"
 	"google.golang.org/grpc/codes"
@@ -124,6 +125,19 @@
 		return nil, t.get(ctx, command)
 	case flightwire.Update:
 		return t.put(ctx, command, params)
+	case flightwire.Do:
+		s, err := t.stream(ctx, flightwire.MethodDoAction, t.call.Action.Encode())
+		if err != nil {
+			return nil, err
+		}
+		answer, err := t.one(s)
+		if errors.Is(err, errNoSchema) { // an answer without a Result is one
+			return []byte{}, nil
+		}
+		if err != nil {
+			return nil, err
+		}
+		return flightwire.Field(answer, 1)
 	case flightwire.Prepare:
 		return t.prepare(ctx)
 	case flightwire.Schema:
@@ -317,7 +331,7 @@
 // ActionCreatePreparedStatementResult. The node's own handle lives as long as the attempt.
 func (t *flightAttempt) prepare(ctx context.Context) ([]byte, error) {
 	create := flightwire.Action{Type: "CreatePreparedStatement",
-		Body: flightwire.StatementCommand("ActionCreatePreparedStatementRequest", t.call.Text)}
+		Body: flightwire.NewCommand("ActionCreatePreparedStatementRequest", flightwire.AppendBytes(flightwire.AppendBytes(nil, 1, t.call.Text), 2, t.call.Tx))}
 	s, err := t.stream(ctx, flightwire.MethodDoAction, create.Encode())
 	if err != nil {
 		return nil, err
@@ -388,3 +402,54 @@
 		f.Free()
 	}
 }
+
+// Release asks a node to end what it holds of a session: its transaction by its own name for it, else all that came under the
+// session's. done is told whether the node said so.
+func (f *Fleet) Release(node, session string, handle []byte, done func(ok bool)) {
+	action := flightwire.Action{Type: flightwire.ActionRelease, Body: []byte(session)}
+	if handle != nil {
+		body := flightwire.AppendVarint(flightwire.AppendBytes(nil, 1, handle), 2, flightwire.EndRollback)
+		action = flightwire.Action{Type: "EndTransaction", Body: flightwire.NewCommand("ActionEndTransactionRequest", body)}
+	}
+	f.group.Go(func() error {
+		done(f.act(node, session, action) == nil)
+		return nil
+	})
+}
+
+// act makes one action at a node and waits for its end.
+func (f *Fleet) act(node, session string, a flightwire.Action) error {
+	n := f.use(node)
+	if n == nil {
+		return errUnknownNode
+	}
+	defer f.release(n)
+	ctx, cancel := context.WithTimeout(f.ctx, releaseWithin)
+	defer cancel()
+	conn, err := n.ready(ctx, &f.opt)
+	if err != nil {
+		return err
+	}
+	ctx = metadata.AppendToOutgoingContext(ctx, flightwire.HeaderSession, session)
+	s, err := conn.NewStream(ctx, bidi, flightwire.MethodDoAction)
+	if err != nil {
+		return err
+	}
+	if err = s.SendMsg(flightwire.NewFrame(a.Encode())); err == nil {
+		err = s.CloseSend()
+	}
+	for err == nil || errors.Is(err, io.EOF) {
+		var m flightwire.Frame
+		if err = s.RecvMsg(&m); err == io.EOF {
+			return nil
+		}
+		m.Free()
+	}
+	if status.Code(err) == codes.NotFound { // it holds nothing of it any more
+		return nil
+	}
+	return err
+}
+
+// releaseWithin bounds the time for a node to end a session's state.
+const releaseWithin = 2 * time.Second
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -42,6 +42,9 @@
 		n.close()
 	}
 	f.post.Told(event)
+	if f.onNodes != nil {
+		f.onNodes(nodes)
+	}
 	return nil
 }
 
--- a/front/flightsql/action.go
+++ b/front/flightsql/action.go
@@ -1,7 +1,6 @@
 package flightsql
 
 import (
-	"slices"
 	"strings"
 	"time"
 
@@ -21,12 +20,13 @@
 	{"CancelQuery", "The older form of CancelFlightInfo."},
 	{"SetSessionOptions", "Sets session options; they are kept in the session cookie."},
 	{"GetSessionOptions", "Tells the session options."},
+	{"BeginTransaction", "Begins a transaction; it stays with one node."},
+	{"EndTransaction", "Commits or rolls back."},
+	{"BeginSavepoint", "Sets a savepoint within a transaction."},
+	{"EndSavepoint", "Releases it, or rolls back to it."},
 	{"CloseSession", "Ends the session: its cookie is taken back."},
 }
 
-// unserved are actions of Flight SQL that need a session bound to one node.
-var unserved = []string{"BeginTransaction", "EndTransaction", "BeginSavepoint", "EndSavepoint"}
-
 func (f *Front) listActions(stream grpc.ServerStream) error {
 	if _, err := f.caller(stream); err != nil {
 		return err
@@ -67,12 +67,17 @@
 		answer, err = f.setOptions(c, a.Body)
 	case "GetSessionOptions":
 		answer, err = f.getOptions(c)
+	case "BeginTransaction":
+		answer, err = f.beginTransaction(c, a.Body)
+	case "EndTransaction":
+		err = f.endTransaction(c, a.Body)
+	case "BeginSavepoint":
+		answer, err = f.beginSavepoint(c, a.Body)
+	case "EndSavepoint":
+		err = f.endSavepoint(c, a.Body)
 	case "CloseSession":
 		answer, err = f.closeSession(c)
 	default:
-		if slices.Contains(unserved, a.Type) {
-			return errTransactions()
-		}
 		known := make([]string, len(actions))
 		for i := range actions {
 			known[i] = actions[i].name
@@ -101,6 +106,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if _, err := f.transaction(c, s.Transaction); err != nil {
+		return nil, err
+	}
 	text := string(s.Text)
 	said, err := f.cached(c, "prepare\x00"+text, work{command: cmd.Name,
 		call: &flightwire.Call{Kind: flightwire.Prepare, Text: text}})
@@ -112,7 +120,7 @@
 		return nil, status.Errorf(codes.Internal, "what the node says of the statement cannot be read: %v", err)
 	}
 	handle := f.opt.Seal.Seal(seal.Prepared, time.Now().Add(f.desk.Tables().PreparedLife),
-		sealed{user: c.user, text: text}.encode())
+		sealed{user: c.user, text: text, tx: s.Transaction}.encode())
 	result := flightwire.AppendBytes(nil, 1, handle)
 	for _, field := range fields { // dataset and parameter schema, as the node gave them
 		if field.Number == 2 || field.Number == 3 {
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -22,6 +22,7 @@
 	"embershunt/internal/flightwire"
 	"embershunt/internal/seal"
 	"embershunt/nodelist"
+	"embershunt/session"
 )
 
 // Options are the front's settings; zero values mean the defaults.
@@ -32,6 +33,8 @@
 	SchemaLife  time.Duration // how long a statement's schema is cached; default 5 min
 	SchemaMost  int           // statements cached; default 4096
 	PassHeaders []string      // call headers passed on to nodes
+	Sessions    *front.Sessions
+	Age         time.Duration // of a transaction at most; its token is valid for so long
 }
 
 func (o *Options) defaults() {
@@ -147,11 +150,14 @@
 	call      *flightwire.Call
 	statement string
 	command   string
-	serial    string // of the ticket; "" where it has none
+	serial    string        // of the ticket; "" where it has none
+	tx        *front.Pinned // the transaction that it belongs to; nil: none
+	use       *front.Use    // of what begins and ends one
+	pin       *front.Pinned // where a transaction was begun
 }
 
 // ask hands a query over and waits for its final answer.
-func (f *Front) ask(c *caller, w work) (dispatch.Verdict, error) {
+func (f *Front) ask(c *caller, w *work) (dispatch.Verdict, error) {
 	if most := f.desk.Tables().MaxStatement; len(w.statement) > most {
 		return dispatch.Verdict{}, status.Errorf(codes.InvalidArgument, "statement of %d bytes, allowed are %d",
 			len(w.statement), most)
@@ -172,11 +178,30 @@
 		id = taken
 		f.enter(w.serial, id)
 	}
-	v, err := f.desk.Ask(c.ctx, call)
+	use := w.use
+	if use == nil && w.tx != nil {
+		use = &front.Use{Kind: session.Plain, Reads: classify.IsRead(w.statement), Tied: w.tx}
+	}
+	var v dispatch.Verdict
+	var err error
+	if use == nil {
+		v, err = f.desk.Ask(c.ctx, call)
+	} else {
+		name := use.ID
+		if use.Tied != nil {
+			name = use.Tied.ID
+		}
+		w.call.Headers = append(w.call.Headers, flightwire.HeaderSession, name)
+		v, w.pin, err = f.opt.Sessions.Ask(c.ctx, call, *use)
+	}
+	f.leave(w.serial, id)
+	var ended *front.SessionError
+	if errors.As(err, &ended) {
+		return v, sessionError(ended)
+	}
 	if err != nil {
 		return v, status.Error(codes.InvalidArgument, err.Error())
 	}
-	f.leave(w.serial, id)
 	return v, nil
 }
 
--- a/front/flightsql/statement.go
+++ b/front/flightsql/statement.go
@@ -24,6 +24,7 @@
 	text   string
 	serial string // tells the tickets apart, for cancels
 	params [][]byte
+	tx     []byte // token of the transaction that it belongs to
 }
 
 func (s sealed) encode() []byte {
@@ -33,7 +34,7 @@
 	for _, p := range s.params {
 		b = flightwire.AppendBytes(b, 4, p)
 	}
-	return b
+	return flightwire.AppendBytes(b, 5, s.tx)
 }
 
 func decodeSealed(b []byte) (sealed, error) {
@@ -52,6 +53,8 @@
 			s.serial = string(f.Value)
 		case 4:
 			s.params = append(s.params, f.Value)
+		case 5:
+			s.tx = f.Value
 		}
 	}
 	return s, nil
@@ -86,7 +89,10 @@
 		if err != nil {
 			return nil, err
 		}
-		return f.info(request, sealed{user: c.user, text: string(s.Text)}), nil
+		if _, err := f.transaction(c, s.Transaction); err != nil {
+			return nil, err
+		}
+		return f.info(request, sealed{user: c.user, text: string(s.Text), tx: s.Transaction}), nil
 	case "CommandPreparedStatementQuery":
 		s, err := flightwire.ParseStatement(cmd.Body, true)
 		if err != nil {
@@ -134,8 +140,6 @@
 	switch {
 	case err != nil:
 		return s, malformed(err)
-	case len(s.Transaction) > 0:
-		return s, errTransactions()
 	case !handle && len(s.Text) > f.desk.Tables().MaxStatement:
 		return s, status.Errorf(codes.InvalidArgument, "statement of %d bytes, allowed are %d", len(s.Text),
 			f.desk.Tables().MaxStatement)
@@ -145,10 +149,6 @@
 	return s, nil
 }
 
-func errTransactions() error {
-	return status.Error(codes.Unimplemented, "transactions are not served: a session cannot be bound to one node yet")
-}
-
 // doGet runs a query and streams its answer.
 func (f *Front) doGet(stream grpc.ServerStream) error {
 	c, err := f.caller(stream)
@@ -179,8 +179,11 @@
 			return err
 		}
 		w.statement, w.serial = p.text, p.serial
+		if err := f.within(c, &w, p.tx); err != nil {
+			return err
+		}
 		if p.params == nil {
-			w.call.Command = flightwire.StatementCommand("CommandStatementQuery", p.text)
+			w.call.Command = statementIn("CommandStatementQuery", p.text, w.tx)
 		} else {
 			w.call.Text, w.call.Params = p.text, p.params
 		}
@@ -191,7 +194,7 @@
 	default:
 		return status.Errorf(codes.InvalidArgument, "ticket: %s is not known here", cmd.Name)
 	}
-	v, err := f.ask(c, w)
+	v, err := f.ask(c, &w)
 	if err != nil {
 		return err
 	}
@@ -224,7 +227,10 @@
 			return err
 		}
 		w.statement = string(s.Text)
-		w.call.Command = flightwire.StatementCommand("CommandStatementUpdate", s.Text)
+		if err := f.within(c, &w, s.Transaction); err != nil {
+			return err
+		}
+		w.call.Command = statementIn("CommandStatementUpdate", w.statement, w.tx)
 	case "CommandPreparedStatementUpdate", "CommandPreparedStatementQuery":
 		s, err := f.statement(cmd, true)
 		if err != nil {
@@ -242,15 +248,18 @@
 			return f.bound(p, params, stream)
 		}
 		w.statement = p.text
+		if err := f.within(c, &w, p.tx); err != nil {
+			return err
+		}
 		if params == nil {
-			w.call.Command = flightwire.StatementCommand("CommandStatementUpdate", p.text)
+			w.call.Command = statementIn("CommandStatementUpdate", p.text, w.tx)
 		} else {
 			w.call.Text, w.call.Params = p.text, params
 		}
 	default:
 		return status.Errorf(codes.Unimplemented, "DoPut of %s is not served here", cmd.Name)
 	}
-	v, err := f.ask(c, w)
+	v, err := f.ask(c, &w)
 	if err == nil {
 		err = verdictError(v)
 	}
@@ -342,7 +351,7 @@
 	if b, ok := f.schemas.Get(key, time.Now()); ok {
 		return b, nil
 	}
-	v, err := f.ask(c, w)
+	v, err := f.ask(c, &w)
 	if err != nil {
 		return nil, err
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -69,6 +69,7 @@
 	Speaks uint8         // protocol, as a bit of nodelist.Speaks
 	Left   time.Duration // until its deadline; 0: the class's
 	Work   any           // for the fleet
+	Only   string        // the node that holds its session's state; "": none
 	MB     float64       // memory hint of the protocol, where rules and hints give none
 	Taken  func(id string)
 }
@@ -121,7 +122,7 @@
 	a := &Asked{Done: make(chan dispatch.Verdict, 1), desk: d, id: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1))}
 	q := &dispatch.Query{ID: a.id, Version: tables.Version, Class: traits.Class,
 		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
-		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Protocol: c.Speaks, Due: now + left.Microseconds(), Work: c.Work, Client: a}
+		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Protocol: c.Speaks, Only: c.Only, Due: now + left.Microseconds(), Work: c.Work, Client: a}
 	if c.Taken != nil {
 		c.Taken(q.ID)
 	}
--- /dev/null
+++ b/front/sessions.go
@@ -0,0 +1,286 @@
+package front
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/dispatch"
+	"embershunt/nodelist"
+	"embershunt/session"
+)
+
+// Sessions carries out what the session module decides: one lock owns the module; statements wait for their answers
+// outside of it. All fronts of a dispatcher share one.
+type Sessions struct {
+	desk    *Desk
+	clock   dispatch.Clock
+	release Releaser
+
+	mu      sync.Mutex
+	module  *session.Module
+	serial  uint64
+	running map[uint64]chan session.Stop // statements that run
+	handles map[string][]byte            // what nodes call the transactions, by session
+	nodes   map[string]time.Time         // starts of those listed
+	wake    chan struct{}                // holds a token when the next Tick may have moved
+}
+
+// Releaser asks a node to end what it holds of a session; handle is what the node calls it, nil where that is not known.
+// It does not block; done is called once.
+type Releaser interface {
+	Release(node, session string, handle []byte, done func(ok bool))
+}
+
+// NewSessions returns sessions with their limits.
+func NewSessions(d *Desk, clock dispatch.Clock, l session.Limits, r Releaser) *Sessions {
+	return &Sessions{desk: d, clock: clock, release: r, module: session.New(l), running: map[uint64]chan session.Stop{},
+		handles: map[string][]byte{}, nodes: map[string]time.Time{}, wake: make(chan struct{}, 1)}
+}
+
+// NewSessionID is a name that no other session has, whatever dispatcher makes it.
+func NewSessionID() string { return fmt.Sprintf("%016x%016x", rand.Uint64(), rand.Uint64()) }
+
+// Pinned is where a session's state is: all that another dispatcher needs to go on with it.
+type Pinned struct {
+	ID      string
+	Tenant  int
+	Node    string
+	Started time.Time
+	Since   time.Time
+	Handle  []byte // what the node calls the transaction
+}
+
+// SessionError tells why a statement was turned away, or called off, for its session's sake.
+type SessionError struct {
+	Why      session.Why
+	State    session.State
+	ComeBack time.Duration
+	Stopped  bool // it was under way
+}
+
+func (e *SessionError) Error() string { return fmt.Sprintf("%s: %s", e.Why, whyTexts[e.Why]) }
+
+// whyTexts are the reasons in words.
+var whyTexts = map[session.Why]string{
+	session.WhyBusy:      "another statement of this session runs",
+	session.WhyMany:      "no room for another session: not begun",
+	session.WhyTables:    "this session has as many temporary tables as allowed",
+	session.WhyNothing:   "no such transaction is open here",
+	session.WhyOpen:      "a transaction is open already",
+	session.WhyEarly:     "this dispatcher has no node list yet",
+	session.WhyDrained:   "its node drains and takes nothing new: the state is lost, begin again",
+	session.WhyGone:      "its node is gone: the state is lost, begin again",
+	session.WhyRestarted: "its node was restarted: the state is lost, begin again",
+	session.WhyBroken:    "what a statement did to its state is not known: the state is lost, begin again",
+	session.WhyCommit:    "the commit may have happened or not; it is not repeated",
+	session.WhyIdle:      "it was idle for too long: rolled back",
+	session.WhyOld:       "it was open for too long: rolled back",
+	session.WhyClosed:    "it was closed by its client",
+	session.WhyDone:      "the transaction was committed or rolled back already",
+}
+
+// CommitKnown tells whether it is sure that nothing of the session was committed by the statement that failed.
+func (e *SessionError) CommitKnown() bool { return e.Why != session.WhyCommit }
+
+// Use is one statement of a session.
+type Use struct {
+	Kind   session.Kind
+	Reads  bool
+	Tied   *Pinned // from the client's token; nil: it has none
+	ID     string  // where it has none
+	Tenant int
+	Handle func(v dispatch.Verdict) []byte // of Begin: what the node calls the transaction
+}
+
+// Ask hands a statement of a session over and waits for its final answer. A Begin that was served returns the pin.
+func (s *Sessions) Ask(ctx context.Context, c Call, u Use) (v dispatch.Verdict, pin *Pinned, err error) {
+	id := u.ID
+	if u.Tied != nil {
+		id = u.Tied.ID
+	}
+	s.mu.Lock()
+	if t := u.Tied; t != nil {
+		if since := s.clock.Now() - time.Since(t.Since).Microseconds(); s.known(id) == session.Free {
+			s.step(session.Resumed{ID: id, Tenant: t.Tenant, Node: t.Node, Started: t.Started, Since: since, Tx: true})
+		}
+		if s.known(id) == session.Pinned && s.handles[id] == nil {
+			s.handles[id] = t.Handle
+		}
+	}
+	s.serial++
+	serial := s.serial
+	var run *session.Run
+	for _, a := range s.step(session.Asked{ID: id, Serial: serial, Tenant: u.Tenant, Kind: u.Kind, Reads: u.Reads, Tied: u.Tied != nil}) {
+		switch a := a.(type) {
+		case session.Run:
+			run = &a
+		case session.Refuse:
+			if a.Serial == serial {
+				s.mu.Unlock()
+				return v, nil, &SessionError{Why: a.Why, State: a.State, ComeBack: time.Duration(a.ComeBack) * time.Microsecond}
+			}
+		}
+	}
+	stop := make(chan session.Stop, 1)
+	s.running[serial] = stop
+	s.mu.Unlock()
+	if c.Only = run.Only; u.Tied != nil {
+		c.Only = u.Tied.Node // never elsewhere, whatever the books say
+	}
+	asked, err := s.desk.Begin(c)
+	var stopped *session.Stop
+	if err == nil {
+		select {
+		case v = <-asked.Done:
+		case <-ctx.Done():
+			asked.Leave()
+			v = <-asked.Done
+		case st := <-stop:
+			stopped = &st
+			asked.Leave()
+			v = <-asked.Done
+		}
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.running, serial)
+	done := session.Done{ID: id, Serial: serial, Node: v.Node, Started: s.nodes[v.Node], Outcome: outcomeOf(v, err)}
+	if u.Handle != nil && done.Outcome == session.OK && s.known(id) != session.Lost {
+		s.handles[id] = u.Handle(v)
+	}
+	for _, a := range s.step(done) {
+		if p, ok := a.(session.Pin); ok && p.ID == id {
+			pin = &Pinned{ID: id, Tenant: u.Tenant, Node: p.Node, Started: p.Started, Since: time.Now(), Handle: s.handles[id]}
+		}
+	}
+	if err != nil {
+		return v, nil, err
+	}
+	state, why := s.module.State(id)
+	switch {
+	case stopped != nil:
+		return v, nil, &SessionError{Why: stopped.Why, State: session.Lost, ComeBack: time.Duration(stopped.ComeBack) * time.Microsecond, Stopped: true}
+	case v.Final != dispatch.Served && (state == session.Lost || state == session.Ending) && why != session.WhyDone,
+		u.Kind == session.Begin && pin == nil && v.Final == dispatch.Served:
+		return v, nil, &SessionError{Why: why, State: session.Lost, Stopped: true}
+	}
+	return v, pin, nil
+}
+
+// outcomeOf reads a final answer, with care for what may have run.
+func outcomeOf(v dispatch.Verdict, err error) session.Outcome {
+	switch {
+	case err != nil || v.Attempts == 0 || v.Final == dispatch.Refused:
+		return session.NotRun
+	case v.Final == dispatch.Served:
+		return session.OK
+	case v.Reason == dispatch.ReasonStatement:
+		return session.Said
+	}
+	return session.Unknown
+}
+
+// Close ends a session by its client's word.
+func (s *Sessions) Close(id string) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.step(session.Closed{ID: id})
+}
+
+// SetNodes takes the node list in force.
+func (s *Sessions) SetNodes(list []nodelist.Node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	clear(s.nodes)
+	var ev session.Listed
+	for _, n := range list {
+		if n.State == choice.Gone {
+			continue
+		}
+		started := n.Started
+		if !started.IsZero() { // as tokens have it
+			started = time.UnixMicro(started.UnixMicro())
+		}
+		s.nodes[n.ID] = started
+		ev.Nodes = append(ev.Nodes, session.Node{ID: n.ID, Draining: n.State == choice.Draining, Started: started})
+	}
+	s.step(ev)
+}
+
+// Status counts the sessions known, those with state, and these by node.
+func (s *Sessions) Status() (known, held int, byNode map[string]int) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.module.Status()
+}
+
+func (s *Sessions) known(id string) session.State {
+	state, _ := s.module.State(id)
+	return state
+}
+
+// step plays an event and carries out what does not answer it; mu is held.
+func (s *Sessions) step(ev session.Event) []session.Action {
+	acts := s.module.Step(s.clock.Now(), ev)
+	for _, a := range acts {
+		switch a := a.(type) {
+		case session.Stop:
+			if stop := s.running[a.Serial]; stop != nil {
+				stop <- a // there is room: a statement is stopped once
+			}
+		case session.Unpin:
+			delete(s.handles, a.ID)
+		case session.Release:
+			id := a.ID
+			s.release.Release(a.Node, id, s.handles[id], func(ok bool) {
+				s.mu.Lock()
+				defer s.mu.Unlock()
+				s.step(session.Released{ID: id, OK: ok})
+			})
+		}
+	}
+	if len(s.handles) > 2*s.module.Held()+100 { // those of sessions that ended without a word of their node
+		for id := range s.handles {
+			if state := s.known(id); state != session.Pinned && state != session.Ending {
+				delete(s.handles, id)
+			}
+		}
+	}
+	select {
+	case s.wake <- struct{}{}:
+	default:
+	}
+	return acts
+}
+
+// Run lets time pass for the sessions until ctx ends.
+func (s *Sessions) Run(ctx context.Context) error {
+	for {
+		s.mu.Lock()
+		at, ok := s.module.Next()
+		s.mu.Unlock()
+		var due <-chan time.Time
+		var stop func() bool
+		if ok {
+			due, stop = s.clock.Timer(at)
+		}
+		select {
+		case <-ctx.Done():
+		case <-s.wake:
+		case <-due:
+			s.mu.Lock()
+			s.step(session.Tick{})
+			s.mu.Unlock()
+		}
+		if stop != nil {
+			stop()
+		}
+		if ctx.Err() != nil {
+			return nil
+		}
+	}
+}
--- a/internal/seal/seal.go
+++ b/internal/seal/seal.go
@@ -24,10 +24,12 @@
 	Prepared
 	Bearer
 	Session
+	Transaction
+	Savepoint
 )
 
 func (p Purpose) String() string {
-	return [...]string{"token", "ticket", "prepared statement handle", "bearer token", "session cookie"}[min(p, 4)]
+	return [...]string{"token", "ticket", "prepared statement handle", "bearer token", "session cookie", "transaction", "savepoint"}[min(p, 6)]
 }
 
 const (
--- a/session/session.go
+++ b/session/session.go
@@ -285,6 +285,9 @@
 // Next is when a Tick is due; ok is false where none is.
 func (m *Module) Next() (at Micros, ok bool) { return m.due.first() }
 
+// Held counts sessions with state.
+func (m *Module) Held() int { return m.held }
+
 // Status counts sessions with state: in all, and by node.
 func (m *Module) Status() (known, held int, byNode map[string]int) {
 	byNode = map[string]int{}
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -112,6 +112,9 @@
 		}
 	}
 	for id, n := range w.m.nodes {
+		if len(n.pins) == 0 && !n.listed {
+			w.fail("node %s is kept for nothing", id)
+		}
 		if len(n.pins) != pins[id] {
 			w.fail("node %s: %d pins, %d sessions", id, len(n.pins), pins[id])
 		}
--- a/standin/flight.go
+++ b/standin/flight.go
@@ -95,10 +95,19 @@
 
 // GetFlightInfoStatement plans a statement; nothing runs yet.
 func (s *flightServer) GetFlightInfoStatement(_ context.Context, q arrowsql.StatementQuery, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
-	return s.planned(d, q.GetQuery())
+	return s.planned(d, q.GetQuery(), q.GetTransactionId())
 }
 
-func (s *flightServer) planned(d *flight.FlightDescriptor, query string) (*flight.FlightInfo, error) {
+// txMark separates a transaction's id from the statement, in tickets and handles.
+const txMark = "\x00"
+
+func (s *flightServer) planned(d *flight.FlightDescriptor, query string, tx []byte) (*flight.FlightInfo, error) {
+	if len(tx) > 0 {
+		if err := s.node.within(tx, query); err != nil {
+			return nil, err
+		}
+		query = string(tx) + txMark + query
+	}
 	ticket, err := arrowsql.CreateStatementQueryTicket([]byte(query))
 	if err != nil {
 		return nil, err
@@ -117,6 +126,12 @@
 }
 
 func (s *flightServer) query(ctx context.Context, text string) (*arrow.Schema, <-chan flight.StreamChunk, error) {
+	if tx, statement, ok := strings.Cut(text, txMark); ok {
+		if err := s.node.within([]byte(tx), statement); err != nil {
+			return nil, nil, err
+		}
+		text = statement
+	}
 	h := parseHints(text)
 	seen := s.node.note(ctx, text, false)
 	if err := s.node.work(ctx, s.life, seen, h, nil); err != nil {
@@ -181,10 +196,14 @@
 
 // DoPutCommandStatementUpdate runs an update.
 func (s *flightServer) DoPutCommandStatementUpdate(ctx context.Context, u arrowsql.StatementUpdate) (int64, error) {
-	return s.update(ctx, u.GetQuery())
+	return s.update(ctx, u.GetQuery(), u.GetTransactionId())
 }
 
-func (s *flightServer) update(ctx context.Context, text string) (int64, error) {
+func (s *flightServer) update(ctx context.Context, text string, tx []byte) (int64, error) {
+	if err := s.node.within(tx, text); err != nil {
+		return 0, err
+	}
+	defer s.node.wrote(tx, text)
 	h := parseHints(text)
 	return int64(h.rows), s.node.work(ctx, s.life, s.node.note(ctx, text, true), h, nil)
 }
@@ -193,6 +212,12 @@
 func (s *flightServer) CreatePreparedStatement(_ context.Context, r arrowsql.ActionCreatePreparedStatementRequest) (arrowsql.ActionCreatePreparedStatementResult, error) {
 	text := r.GetQuery()
 	out := arrowsql.ActionCreatePreparedStatementResult{Handle: []byte(text)}
+	if tx := r.GetTransactionId(); len(tx) > 0 {
+		if err := s.node.within(tx, text); err != nil {
+			return out, err
+		}
+		out.Handle = []byte(string(tx) + txMark + text)
+	}
 	if n := strings.Count(text, "?"); n > 0 {
 		fields := make([]arrow.Field, n)
 		for i := range fields {
@@ -220,12 +245,19 @@
 	if r.Err() != nil {
 		return nil, r.Err()
 	}
+	if tx, text, ok := strings.Cut(string(q.GetPreparedStatementHandle()), txMark); ok {
+		return fmt.Appendf(nil, "%s%s/* rows=%d */ %s", tx, txMark, rows, text), nil
+	}
 	return fmt.Appendf(nil, "/* rows=%d */ %s", rows, q.GetPreparedStatementHandle()), nil
 }
 
 // GetFlightInfoPreparedStatement plans a prepared statement.
 func (s *flightServer) GetFlightInfoPreparedStatement(_ context.Context, q arrowsql.PreparedStatementQuery, d *flight.FlightDescriptor) (*flight.FlightInfo, error) {
-	return s.planned(d, string(q.GetPreparedStatementHandle()))
+	tx, text, ok := strings.Cut(string(q.GetPreparedStatementHandle()), txMark)
+	if !ok {
+		tx, text = "", tx
+	}
+	return s.planned(d, text, []byte(tx))
 }
 
 // DoPutPreparedStatementUpdate runs a prepared update with its parameters.
@@ -234,7 +266,11 @@
 	for r.Next() {
 		rows += r.RecordBatch().NumRows()
 	}
-	_, err := s.update(ctx, string(u.GetPreparedStatementHandle()))
+	tx, text, ok := strings.Cut(string(u.GetPreparedStatementHandle()), txMark)
+	if !ok {
+		tx, text = "", tx
+	}
+	_, err := s.update(ctx, text, []byte(tx))
 	return rows, err
 }
 
@@ -317,6 +353,10 @@
 
 // DoAction implements flight.FlightServer.
 func (t *termsServer) DoAction(a *flight.Action, s flight.FlightService_DoActionServer) error {
+	if a.GetType() == flightwire.ActionRelease {
+		t.node.releaseSession(string(a.GetBody()))
+		return nil
+	}
 	if a.GetType() != flightwire.ActionTerms {
 		return t.FlightServer.DoAction(a, s)
 	}
--- a/standin/node.go
+++ b/standin/node.go
@@ -71,6 +71,8 @@
 	seen  []*Seen
 	news  chan struct{} // closed whenever seen changes
 	conns int           // of the native protocol
+	state state         // of sessions
+	tally Tally
 }
 
 // life is one process life of a node.
@@ -86,7 +88,7 @@
 
 // NewNode returns a node that is not started.
 func NewNode(name string, m Model, seed uint64) *Node {
-	return &Node{Name: name, model: m, news: make(chan struct{}), rng: rand.New(rand.NewPCG(seed, 1))}
+	return &Node{Name: name, model: m, news: make(chan struct{}), tally: Tally{Commits: map[string]int{}}, rng: rand.New(rand.NewPCG(seed, 1))}
 }
 
 // Start brings the node up, at the address it had before if it had one; a cold one starts at part of its speed.
@@ -127,6 +129,7 @@
 	healthpb.RegisterHealthServer(v.server, health.NewServer())
 	n.mu.Lock()
 	n.life = v
+	n.state = state{open: map[string]*transaction{}, session: map[string]string{}}
 	n.mu.Unlock()
 	n.apply(v)
 	v.done.Add(1)
@@ -182,6 +185,7 @@
 	v.native.Close()
 	v.server.Stop()
 	v.done.Wait()
+	n.mark(func() { n.state = state{} }) // its sessions died with it
 }
 
 // Vanish makes the node fall silent: no reset, no answer, until it dies or restarts.
