Temporary tables over the native protocol stay with one connection; options are replayed

Need: SET, USE and CREATE TEMPORARY TABLE ran on pooled connections to nodes and stayed there for whoever came next. SET and USE are kept by the front and go with each query; temporary tables pin the session to its node and to one connection of its own, which is closed to release them; SET ROLE, transactions and temporary views are refused in words.

--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -114,7 +114,7 @@
 	d.fleet.OnNodes(d.sessions.SetNodes)
 	d.front = flightsql.New(flightsql.Options{Sessions: d.sessions, Age: e.Age.D(), Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
 		SchemaMost: r.SchemaMost, PassHeaders: f.Sending.PassHeaders}, d.desk)
-	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame, Revision: d.fleet.NativeRevision,
+	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame, Revision: d.fleet.NativeRevision, Sessions: d.sessions,
 		InsertMost: r.InsertMost, InsertsHeld: r.InsertsHeld, SampleLife: r.SchemaLife.D(), SampleMost: r.SchemaMost}, d.desk)
 	observer.watch(d.desk, d.fleet, d.native, r.InsertsHeld)
 	observer.watchSessions(d.sessions, e.Most)
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -11,6 +11,7 @@
 	"embershunt/dispatch"
 	"embershunt/internal/flightwire"
 	"embershunt/internal/native"
+	"embershunt/session"
 )
 
 // Errors of attempts; nodes' own words come as their protocol's errors.
@@ -147,6 +148,8 @@
 		return choice.OK, false
 	case t.notRun:
 		return choice.Full, false
+	case errors.Is(err, session.ErrMissing): // the node's word, as it were: another one has nothing of it either
+		return choice.Failed, true
 	case errors.Is(err, errNotConnected), errors.Is(err, errUnknownNode), errors.Is(err, errOtherWork):
 		return choice.Refused, false
 	case errors.Is(cause, errTimedOut) && t.unsent:
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -52,6 +52,7 @@
 	mu       sync.Mutex
 	nodes    map[string]*node
 	attempts map[string][]*attempt // those out, by query
+	sessions map[string]*sessionConn
 
 	listFailures atomic.Int64
 	drains       drains
@@ -75,7 +76,7 @@
 	}
 	ctx, stop := context.WithCancel(context.Background())
 	return &Fleet{log: o.Log, clock: o.Clock, opt: o, group: new(errgroup.Group), ctx: ctx, stop: stop,
-		nodes: map[string]*node{}, attempts: map[string][]*attempt{}}
+		nodes: map[string]*node{}, attempts: map[string][]*attempt{}, sessions: map[string]*sessionConn{}}
 }
 
 // Bind names who is told of what happens.
@@ -119,6 +120,10 @@
 	err := f.group.Wait()
 	f.mu.Lock()
 	defer f.mu.Unlock()
+	for name, s := range f.sessions {
+		s.conn.conn.Close()
+		delete(f.sessions, name)
+	}
 	for id, n := range f.nodes {
 		n.close()
 		delete(f.nodes, id)
--- a/fleet/flight.go
+++ b/fleet/flight.go
@@ -406,6 +406,10 @@
 // Release asks a node to end what it holds of a session: its transaction by its own name for it, else all that came under the
 // session's. done is told whether the node said so.
 func (f *Fleet) Release(node, session string, handle []byte, done func(ok bool)) {
+	if f.dropSession(session) {
+		f.group.Go(func() error { done(true); return nil })
+		return
+	}
 	action := flightwire.Action{Type: flightwire.ActionRelease, Body: []byte(session)}
 	if handle != nil {
 		body := flightwire.AppendVarint(flightwire.AppendBytes(nil, 1, handle), 2, flightwire.EndRollback)
--- a/fleet/native.go
+++ b/fleet/native.go
@@ -16,6 +16,7 @@
 	"embershunt/choice"
 	"embershunt/dispatch"
 	"embershunt/internal/native"
+	"embershunt/session"
 )
 
 // nativeConn is one connection to a node's native port. It carries one query at a time.
@@ -198,21 +199,79 @@
 
 // try implements carrier.
 func (t *nativeAttempt) try(ctx context.Context, n *node) (any, error) {
-	c, err := n.nativeReady(ctx, &t.f.opt, nativeKey{t.call.Revision, t.call.Database})
-	if err != nil {
-		return nil, err
+	key := nativeKey{t.call.Revision, t.call.Database}
+	c := t.f.takeSession(t.call.Session, n, key)
+	if c == nil && t.a.Query.Only != "" && t.call.Session != "" {
+		return nil, session.ErrMissing
+	}
+	if c == nil {
+		var err error
+		if c, err = n.nativeReady(ctx, &t.f.opt, key); err != nil {
+			return nil, err
+		}
 	}
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	t.unsent = true
 	clean, result, err := t.speak(ctx, c)
-	if stop() && clean {
-		n.keep(c)
-	} else {
+	switch {
+	case !stop() || !clean:
 		t.giveUp(c)
+	case t.call.Session != "":
+		t.f.keepSession(t.call.Session, n, c)
+	default:
+		n.keep(c)
 	}
 	return result, err
 }
 
+// sessionConn is the connection to a node on which a session's state lives.
+type sessionConn struct {
+	node *node
+	conn *nativeConn
+}
+
+// takeSession takes a session's connection, if it is still up; nil where there is none.
+func (f *Fleet) takeSession(name string, n *node, key nativeKey) *nativeConn {
+	if name == "" {
+		return nil
+	}
+	f.mu.Lock()
+	s := f.sessions[name]
+	delete(f.sessions, name)
+	f.mu.Unlock()
+	if s == nil {
+		return nil
+	}
+	if s.node != n || s.conn.key.revision != key.revision || !quiet(s.conn.conn) {
+		s.conn.conn.Close()
+		return nil
+	}
+	return s.conn
+}
+
+// keepSession keeps a session's connection for its next statement.
+func (f *Fleet) keepSession(name string, n *node, c *nativeConn) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.ctx.Err() != nil || f.nodes[n.id] != n {
+		c.conn.Close()
+		return
+	}
+	f.sessions[name] = &sessionConn{n, c}
+}
+
+// dropSession closes a session's connection, which ends all that lives on it; false where there is none.
+func (f *Fleet) dropSession(name string) bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	s := f.sessions[name]
+	if s != nil {
+		s.conn.conn.Close()
+		delete(f.sessions, name)
+	}
+	return s != nil
+}
+
 // giveUp tells the node that nobody waits any more, as far as that can be done at once, and closes the connection: what is
 // left on it would be taken for the next answer.
 func (t *nativeAttempt) giveUp(c *nativeConn) {
@@ -264,6 +323,19 @@
 			var e *native.Exception
 			return errors.As(err, &e), nil, err
 		}
+		if t.call.Sample && t.call.Session != "" { // state lives on the connection: the INSERT ends without a row
+			raw := bytes.Clone(sample.Raw)
+			end := native.EndOfData()
+			if c.r.Packed {
+				end = native.EndOfDataPacked()
+			}
+			c.w.Write(end)
+			if err := c.w.Flush(); err != nil {
+				return false, nil, err
+			}
+			clean, _, err := t.answer(ctx, c)
+			return clean, raw, err
+		}
 		if t.call.Sample { // the node is left waiting for rows, so that the connection ends here
 			return false, bytes.Clone(sample.Raw), nil
 		}
--- a/front/clickhouse/clickhouse.go
+++ b/front/clickhouse/clickhouse.go
@@ -34,6 +34,7 @@
 	MaxConns    int           // default 20000
 	InsertMost  int           // bytes that one query may bring as rows and external tables; default 64 MiB
 	InsertsHeld int           // bytes of all of them together; default 512 MiB
+	Sessions    *front.Sessions
 	Revision    func() int    // the newest that all nodes speak; 0: not known; nil: the newest there is
 	SampleLife  time.Duration // how long the columns of an INSERT are cached; default 5 min
 	SampleMost  int           // statements cached; default 4096
@@ -103,7 +104,7 @@
 			}
 			group.Go(func() error {
 				defer f.leave(conn)
-				s := &session{front: f, conn: conn, r: native.NewReaderSize(conn, f.opt.MaxPacket, idleBuffer), out: bufio.NewWriterSize(conn, idleBuffer)}
+				s := &client{front: f, conn: conn, r: native.NewReaderSize(conn, f.opt.MaxPacket, idleBuffer), out: bufio.NewWriterSize(conn, idleBuffer)}
 				if err := s.serve(ctx); err != nil {
 					f.opt.Log.Debug("native connection ended", "client", conn.RemoteAddr(), "error", err)
 				}
@@ -161,13 +162,14 @@
 	return len(f.conns)
 }
 
-// session is one client's connection.
-type session struct {
+// client is one connection of a client.
+type client struct {
 	front    *Front
 	conn     net.Conn
 	r        *native.Reader
 	revision int
 	hello    native.Hello
+	life     connection
 	steps    chan step // what a read in the background saw
 	reading  bool      // there is one
 	group    errgroup.Group
@@ -191,7 +193,7 @@
 	err    error
 }
 
-func (s *session) serve(ctx context.Context) error {
+func (s *client) serve(ctx context.Context) error {
 	stop := context.AfterFunc(ctx, func() { s.conn.SetReadDeadline(time.Unix(1, 0)) })
 	defer stop()
 	if err := s.shake(); err != nil {
@@ -199,6 +201,7 @@
 	}
 	s.steps = make(chan step, 1)
 	err := s.play(ctx)
+	s.life.close(s.front.opt.Sessions)
 	s.conn.SetReadDeadline(time.Unix(1, 0)) // ends a read in the background
 	s.group.Wait()
 	if s.spoke {
@@ -208,7 +211,7 @@
 }
 
 // linger lets the client read the last word: closed at once, with bytes unread, the connection would be reset.
-func (s *session) linger() {
+func (s *client) linger() {
 	if c, ok := s.conn.(*net.TCPConn); ok && c.CloseWrite() == nil {
 		c.SetReadDeadline(time.Now().Add(lingerFor))
 		io.Copy(io.Discard, io.LimitReader(c, lingerMost))
@@ -222,7 +225,7 @@
 )
 
 // shake takes the client's Hello and answers it.
-func (s *session) shake() (err error) {
+func (s *client) shake() (err error) {
 	s.conn.SetReadDeadline(time.Now().Add(s.front.opt.HelloWithin))
 	if s.hello, err = s.r.ReadHello(); err != nil {
 		s.refuse(101, err.Error()) // UNEXPECTED_PACKET_FROM_CLIENT
@@ -248,7 +251,7 @@
 	return s.conn.SetReadDeadline(time.Time{})
 }
 
-func (s *session) write(b []byte) error {
+func (s *client) write(b []byte) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if _, err := s.out.Write(b); err != nil {
@@ -258,13 +261,13 @@
 }
 
 // refuse writes an Exception of the front's own.
-func (s *session) refuse(code int32, text string) {
+func (s *client) refuse(code int32, text string) {
 	s.spoke = true
 	s.write((&native.Exception{Code: code, Name: "DB::Exception", Message: "DB::Exception: " + text}).Encode())
 }
 
 // next is the client's next packet.
-func (s *session) next() step {
+func (s *client) next() step {
 	if s.reading {
 		s.reading = false
 		return <-s.steps
@@ -274,7 +277,7 @@
 
 // watch reads the client's next packet in the background, so that a cancel and the client's end are seen while a query runs;
 // steps gets it.
-func (s *session) watch() {
+func (s *client) watch() {
 	if s.reading {
 		return
 	}
@@ -286,7 +289,7 @@
 }
 
 // read reads one packet.
-func (s *session) read() (st step) {
+func (s *client) read() (st step) {
 	if st.code, st.err = s.r.ReadClient(); st.err != nil {
 		return st
 	}
@@ -310,10 +313,10 @@
 }
 
 // holds asks for room for what is read, and gives all of it back once the query is over.
-func (s *session) holds(n int) error { return s.front.store.grow(&s.held, n) }
+func (s *client) holds(n int) error { return s.front.store.grow(&s.held, n) }
 
 // tables reads the external tables behind a query and the empty block that ends them.
-func (s *session) tables() ([]byte, error) {
+func (s *client) tables() ([]byte, error) {
 	var out []byte
 	for {
 		code, err := s.r.ReadClient()
@@ -339,7 +342,7 @@
 }
 
 // play answers what the reader saw, one query at a time.
-func (s *session) play(ctx context.Context) error {
+func (s *client) play(ctx context.Context) error {
 	defer s.front.store.release(&s.held)
 	for {
 		st := s.next()
@@ -371,7 +374,7 @@
 var errUnasked = errors.New("rows that no INSERT waits for")
 
 // refuseFor answers what could not be read, or not be held.
-func (s *session) refuseFor(err error) {
+func (s *client) refuseFor(err error) {
 	var room *dispatch.RoomError
 	switch {
 	case errors.As(err, &room) && room.Large:
@@ -385,8 +388,9 @@
 }
 
 // call is a query as the desk takes it.
-func (s *session) call(st step) front.Call {
+func (s *client) call(st step) front.Call {
 	q := st.query
+	q.Settings = s.life.replay(q.Settings)
 	settings := map[string]string{}
 	for _, set := range q.Settings {
 		settings[set.Name] = set.Value
@@ -413,10 +417,13 @@
 }
 
 // query runs one query to its final answer.
-func (s *session) query(ctx context.Context, st step) error {
+func (s *client) query(ctx context.Context, st step) error {
 	s.mu.Lock()
 	s.over, s.partial = false, false
 	s.mu.Unlock()
+	if done, err := s.own(st.query.Text); done {
+		return err
+	}
 	call := s.call(st)
 	if classify.InsertsClientData(st.query.Text) {
 		return s.insert(ctx, call)
@@ -438,7 +445,10 @@
 const watchAfter = 2 * time.Millisecond
 
 // ask hands a call over and waits for its final answer; meanwhile it heeds what the client sends.
-func (s *session) ask(ctx context.Context, call front.Call) (v dispatch.Verdict, how ending, err error) {
+func (s *client) ask(ctx context.Context, call front.Call) (v dispatch.Verdict, how ending, err error) {
+	if use := s.life.use(call); use != nil {
+		return s.askPinned(ctx, call, use)
+	}
 	asked, err := s.front.desk.Begin(call)
 	if err != nil {
 		return v, answered, err
@@ -478,7 +488,7 @@
 }
 
 // close writes the end of an answer. An error ends the connection.
-func (s *session) close(v dispatch.Verdict, how ending, err error) error {
+func (s *client) close(v dispatch.Verdict, how ending, err error) error {
 	switch {
 	case how == gone:
 		return err
@@ -489,7 +499,7 @@
 		}
 		return s.write([]byte{native.ServerEndOfStream})
 	case err != nil:
-		s.refuse(36, err.Error()) // BAD_ARGUMENTS
+		s.refuseOf(err)
 		return nil
 	}
 	return s.finish(v)
@@ -498,7 +508,7 @@
 var errPartial = errors.New("a packet was broken off: the connection cannot go on")
 
 // Pass implements native.Sink.
-func (s *session) Pass(packets []byte, more bool) error {
+func (s *client) Pass(packets []byte, more bool) error {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.over {
@@ -513,7 +523,7 @@
 }
 
 // end sees to it that nothing more of the present answer is written. A write that a slow client holds up is broken off.
-func (s *session) end() {
+func (s *client) end() {
 	t := time.AfterFunc(50*time.Millisecond, func() { s.conn.SetWriteDeadline(time.Unix(1, 0)) })
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -523,7 +533,7 @@
 }
 
 // finish writes the final answer.
-func (s *session) finish(v dispatch.Verdict) error {
+func (s *client) finish(v dispatch.Verdict) error {
 	s.end()
 	if s.partial {
 		return errPartial
--- a/front/clickhouse/insert.go
+++ b/front/clickhouse/insert.go
@@ -48,14 +48,14 @@
 // insert runs an INSERT whose rows come from the client. First the client is told which columns the table has, by a node or
 // from the cache; then its rows are held here until they are complete; only then is the query made, so that a client that
 // stalls keeps no node waiting and a further attempt has the rows at hand.
-func (s *session) insert(ctx context.Context, call front.Call) error {
+func (s *client) insert(ctx context.Context, call front.Call) error {
 	left, err := s.front.desk.Deadline(call)
 	if err != nil {
 		return s.close(dispatch.Verdict{}, answered, err)
 	}
 	due := time.Now().Add(left)
 	work := call.Work.(*native.Call)
-	key := sampleKey(work, s.hello.User)
+	key := sampleKey(work, s.hello.User) + s.life.pinned()
 	sample, ok := s.front.samples.Get(key, time.Now())
 	if !ok {
 		first := *work
@@ -85,7 +85,7 @@
 }
 
 // collect takes the client's rows up to the empty block.
-func (s *session) collect(ctx context.Context, work *native.Call, due time.Time) (ending, error) {
+func (s *client) collect(ctx context.Context, work *native.Call, due time.Time) (ending, error) {
 	timer := time.NewTimer(time.Until(due))
 	defer timer.Stop()
 	for {
--- a/front/sessions.go
+++ b/front/sessions.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"math/rand/v2"
 	"sync"
@@ -76,6 +77,7 @@
 	session.WhyGone:      "its node is gone: the state is lost, begin again",
 	session.WhyRestarted: "its node was restarted: the state is lost, begin again",
 	session.WhyBroken:    "what a statement did to its state is not known: the state is lost, begin again",
+	session.WhyMissing:   "its node has nothing of it any more: the state is lost, begin again",
 	session.WhyCommit:    "the commit may have happened or not; it is not repeated",
 	session.WhyIdle:      "it was idle for too long: rolled back",
 	session.WhyOld:       "it was open for too long: rolled back",
@@ -93,6 +95,8 @@
 	Tied   *Pinned // from the client's token; nil: it has none
 	ID     string  // where it has none
 	Tenant int
+	Name   string                          // of the table, for Make and Drop
+	Lasts  bool                            // the session outlives its state
 	Handle func(v dispatch.Verdict) []byte // of Begin: what the node calls the transaction
 }
 
@@ -114,7 +118,7 @@
 	s.serial++
 	serial := s.serial
 	var run *session.Run
-	for _, a := range s.step(session.Asked{ID: id, Serial: serial, Tenant: u.Tenant, Kind: u.Kind, Reads: u.Reads, Tied: u.Tied != nil}) {
+	for _, a := range s.step(session.Asked{ID: id, Serial: serial, Tenant: u.Tenant, Kind: u.Kind, Name: u.Name, Reads: u.Reads, Tied: u.Tied != nil, Lasts: u.Lasts}) {
 		switch a := a.(type) {
 		case session.Run:
 			run = &a
@@ -176,6 +180,8 @@
 	switch {
 	case err != nil || v.Attempts == 0 || v.Final == dispatch.Refused:
 		return session.NotRun
+	case errors.Is(v.Cause, session.ErrMissing):
+		return session.Missing
 	case v.Final == dispatch.Served:
 		return session.OK
 	case v.Reason == dispatch.ReasonStatement:
--- a/internal/native/call.go
+++ b/internal/native/call.go
@@ -13,6 +13,7 @@
 	Database string
 	Tables   []byte   // external tables and the empty block behind them, as the client sent them
 	Data     [][]byte // rows of an INSERT and the empty block behind them, likewise; nil: the statement takes none
+	Session  string   // name of the session whose state lives on one connection to its node; "": none
 	Sample   bool     // only the columns that an INSERT takes are wanted: nothing runs
 	Sink     Sink
 }
--- a/internal/native/packet.go
+++ b/internal/native/packet.go
@@ -5,6 +5,8 @@
 	"errors"
 	"fmt"
 	"io"
+
+	"github.com/go-faster/city"
 )
 
 // Hello is a client's first packet.
@@ -308,6 +310,18 @@
 	return append(b, emptyBlock...)
 }
 
+// EndOfDataPacked is EndOfData in a frame without compression, as it goes where blocks are compressed.
+func EndOfDataPacked() []byte {
+	frame := append(make([]byte, frameChecksum), methodNone)
+	frame = binary.LittleEndian.AppendUint32(frame, frameHead+uint32(len(emptyBlock)))
+	frame = binary.LittleEndian.AppendUint32(frame, uint32(len(emptyBlock)))
+	frame = append(frame, emptyBlock...)
+	sum := city.CH128(frame[frameChecksum:])
+	binary.LittleEndian.PutUint64(frame, sum.Low)
+	binary.LittleEndian.PutUint64(frame[8:], sum.High)
+	return append(PutText(PutUvarint(nil, ClientData), ""), frame...)
+}
+
 // emptyBlock has the usual block info (no overflow, bucket -1), no columns, no rows.
 var emptyBlock = []byte{1, 0, 2, 0xff, 0xff, 0xff, 0xff, 0, 0, 0}
 
--- a/session/course.go
+++ b/session/course.go
@@ -26,6 +26,10 @@
 		m.wind(e)
 		return
 	}
+	if ev.Outcome == Missing {
+		m.end(e, Lost, WhyMissing)
+		return
+	}
 	if makes {
 		m.made(e, ran, ev)
 		return
--- a/session/session.go
+++ b/session/session.go
@@ -4,6 +4,7 @@
 package session
 
 import (
+	"errors"
 	"fmt"
 	"time"
 
@@ -50,8 +51,12 @@
 	NotRun          // known not to have run
 	Said            // the node's own word that it failed
 	Unknown         // it may have run
+	Missing         // it did not run: the node has nothing of the session any more
 )
 
+// ErrMissing is how a caller tells of Missing: as the cause of an answer.
+var ErrMissing = errors.New("the node has nothing of this session any more")
+
 // State is where a session stands.
 type State int
 
@@ -84,6 +89,7 @@
 	WhyGone      Why = "NODE_GONE"        // its node left the list
 	WhyRestarted Why = "NODE_RESTARTED"   // a node of that name is there, without its state
 	WhyBroken    Why = "STATE_UNKNOWN"    // what a statement did to its state is not known
+	WhyMissing   Why = "STATE_GONE"       // its node has nothing of it any more
 	WhyCommit    Why = "COMMIT_UNKNOWN"   // the commit may have happened or not
 	WhyIdle      Why = "SESSION_IDLE"     //
 	WhyOld       Why = "SESSION_TOO_OLD"  //
--- a/standin/native.go
+++ b/standin/native.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"context"
 	"net"
+	"regexp"
 	"strconv"
 	"strings"
 	"time"
@@ -34,7 +35,9 @@
 			defer conn.Close()
 			n.mark(func() { n.conns++ })
 			defer n.mark(func() { n.conns-- })
-			(&nativeServer{node: n, life: v, conn: conn, w: bufio.NewWriterSize(conn, 64<<10)}).serve(ctx)
+			s := &nativeServer{node: n, life: v, conn: conn, w: bufio.NewWriterSize(conn, 64<<10)}
+			s.serve(ctx)
+			n.mark(func() { n.temporary -= len(s.tables) })
 		}()
 	}
 }
@@ -46,6 +49,7 @@
 	w        *bufio.Writer
 	revision int
 	packing  *compress.Writer // nil: blocks are not compressed
+	tables   map[string]bool  // temporary ones: they live and die with the connection
 }
 
 func (s *nativeServer) serve(ctx context.Context) {
@@ -210,6 +214,27 @@
 	return ctx, seen
 }
 
+// temporary are the tables that a statement may name only where they were made.
+var temporary = regexp.MustCompile(`\btmp_[a-z0-9_]+`)
+
+// keep makes and drops temporary tables.
+func (s *nativeServer) keep(text string) {
+	name := temporary.FindString(text)
+	before := len(s.tables)
+	switch {
+	case name == "":
+		return
+	case strings.HasPrefix(text, "CREATE TEMPORARY"):
+		if s.tables == nil {
+			s.tables = map[string]bool{}
+		}
+		s.tables[name] = true
+	case strings.HasPrefix(text, "DROP"):
+		delete(s.tables, name)
+	}
+	s.node.mark(func() { s.node.temporary += len(s.tables) - before })
+}
+
 // progress writes how many of the rows are read.
 func (s *nativeServer) progress(rows, total int) {
 	s.w.Write(native.PutUvarint([]byte{native.ServerProgress}, uint64(rows)))
@@ -250,6 +275,11 @@
 
 func (s *nativeServer) answer(ctx context.Context, q native.Query, seen *Seen, brought int) bool {
 	h := parseHints(q.Text)
+	if name := temporary.FindString(q.Text); name != "" && !s.tables[name] && !strings.Contains(q.Text, "CREATE TEMPORARY") {
+		s.node.mark(func() { s.node.tally.Misplaced = append(s.node.tally.Misplaced, q.Text) })
+		s.w.Write((&native.Exception{Code: 60, Name: "DB::Exception", Message: "DB::Exception: Table " + name + " does not exist"}).Encode())
+		return true
+	}
 	const scanned = 1000
 	told := 0
 	if err := s.node.work(ctx, s.life, seen, h, func(share float64) {
@@ -276,6 +306,7 @@
 		s.w.Write(e.Encode())
 		return true
 	}
+	s.keep(q.Text)
 	s.progress(scanned-told, 0)
 	s.profile(h)
 	if isUpdate(q.Text) {
--- a/standin/node.go
+++ b/standin/node.go
@@ -63,16 +63,17 @@
 	// Tokens is shared by the nodes that drop each other's repeats of an INSERT; nil: it drops none.
 	Tokens *Tokens
 
-	model Model
-	mu    sync.Mutex
-	rng   *rand.Rand
-	life  *life
-	fault Faults
-	seen  []*Seen
-	news  chan struct{} // closed whenever seen changes
-	conns int           // of the native protocol
-	state state         // of sessions
-	tally Tally
+	model     Model
+	mu        sync.Mutex
+	rng       *rand.Rand
+	life      *life
+	fault     Faults
+	seen      []*Seen
+	news      chan struct{} // closed whenever seen changes
+	conns     int           // of the native protocol
+	state     state         // of sessions
+	temporary int           // tables on native connections
+	tally     Tally
 }
 
 // life is one process life of a node.
@@ -285,6 +286,13 @@
 	return s
 }
 
+// Temporary is the number of temporary tables on native connections.
+func (n *Node) Temporary() int {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.temporary
+}
+
 // NativeConns is the number of open connections of the native protocol.
 func (n *Node) NativeConns() int {
 	n.mu.Lock()
