--- a/day/judge.go
+++ b/day/judge.go
@@ -49,6 +49,7 @@
 	Classes  []Class
 	Reasons  map[string]int
 	Samples  map[string]string // an error for each reason
+	Sessions Sessions
 	Attempts int
 	Further  int
 	Nacks    int
@@ -95,6 +96,9 @@
 	}
 	r.Rules = []Rule{w.oneAnswer(seen), w.noEffectTwice(seen), w.drains(all, r), w.coldNodes(seen), w.order(seen),
 		w.placement(seen), w.budget(seen)}
+	if len(w.txs) > 0 {
+		r.Rules = append(r.Rules, w.transactions(r))
+	}
 	for _, a := range w.asked {
 		if a.Native {
 			r.Natively++
--- a/day/print.go
+++ b/day/print.go
@@ -28,6 +28,15 @@
 	if r.Came > 0 {
 		fmt.Fprintf(w, "came back when told to\t%d, served %d (%.3f)\n", r.Came, r.CameOK, float64(r.CameOK)/float64(r.Came))
 	}
+	if s := &r.Sessions; s.Begun > 0 {
+		fmt.Fprintf(w, "transactions begun\t%d, turned away %d, left open on nodes at the end %d\n", s.Begun, s.NotBegun, s.Open)
+		for _, k := range slices.Sorted(maps.Keys(s.Ends)) {
+			fmt.Fprintf(w, "transactions %s\t%d\n", k, s.Ends[k])
+		}
+		for _, k := range slices.Sorted(maps.Keys(s.Reasons)) {
+			fmt.Fprintf(w, "transactions ended by %.60s\t%d\n", k, s.Reasons[k])
+		}
+	}
 	before := 0.0
 	for _, b := range r.Pauses {
 		if n := b[1] - before; n > 0 {
--- a/day/run.go
+++ b/day/run.go
@@ -59,6 +59,7 @@
 
 	mu      sync.Mutex
 	asked   []*Asked
+	txs     []*Tx
 	hosts   []*host
 	lists   []restart // births of nodes
 	downs   []span    // when a dispatcher was down
@@ -98,6 +99,7 @@
 	}
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
+	outer := ctx
 	group, ctx := errgroup.WithContext(ctx)
 	w.begin = time.Now()
 	for i := range s.Faults {
@@ -111,8 +113,10 @@
 	if err := group.Wait(); err != nil {
 		return nil, err
 	}
+	w.drainSessions(outer)
+	r := w.judge()
 	w.stop()
-	return w.judge(), nil
+	return r, nil
 }
 
 func (w *world) start() error {
@@ -134,7 +138,7 @@
 		}
 		for range g.Count {
 			n := standin.NewNode(fmt.Sprintf("node-%d", len(w.nodes)), model, w.rng.Uint64())
-			n.Tokens = tokens[g.Hall]
+			n.Share(tokens[g.Hall])
 			if err := n.Start("127.0.0.1:0", false); err != nil {
 				return err
 			}
@@ -394,6 +398,14 @@
 	var group errgroup.Group
 	defer group.Wait()
 	send := func() {
+		if c.Statements > 0 {
+			seed := rng.Uint64()
+			group.Go(func() error {
+				w.transact(ctx, g, rand.New(rand.NewPCG(seed, 9)))
+				return nil
+			})
+			return
+		}
 		a, statement := w.next(g, rng)
 		leave := rng.Float64() < c.LeaveRate
 		group.Go(func() error {
@@ -449,7 +461,7 @@
 		if a.Token == "" {
 			a.Token = fmt.Sprintf("token-%d", a.Serial)
 		}
-	case c.Update:
+	case c.Update, c.Statements > 0:
 		verb = "INSERT INTO payment VALUES (1)"
 	}
 	s := fmt.Sprintf("%s /* serial=%d class=%s work_ms=%.3f threads=%d rows=%d", verb, a.Serial, c.Class,
@@ -570,7 +582,7 @@
 			if k := cfg.Classes.Keyed[i]; w.script.Clients[g].Keyed && k >= 0 {
 				return cfg.Settings.Classes[k]
 			}
-			if w.script.Clients[g].Update || w.script.Clients[g].Keyed {
+			if w.script.Clients[g].Update || w.script.Clients[g].Keyed || w.script.Clients[g].Statements > 0 {
 				return cfg.Settings.Classes[cfg.Classes.Updates[i]]
 			}
 			return c
--- a/day/script.go
+++ b/day/script.go
@@ -64,8 +64,11 @@
 	Hints     bool            `json:"hints"`   // state cost and memory
 	Native    float64         `json:"native"`  // share of queries asked over the ClickHouse native protocol
 	Keyed     bool            `json:"keyed"`   // an INSERT with rows and a deduplication token, natively
-	Burst     int             `json:"burst"`   // this many at once ...
-	BurstAt   config.Duration `json:"burst_at"`
+	// Statements above 0 make each of the group's queries a transaction of so many updates with pauses drawn around Think.
+	Statements int             `json:"statements"`
+	Think      config.Duration `json:"think"`
+	Burst      int             `json:"burst"` // this many at once ...
+	BurstAt    config.Duration `json:"burst_at"`
 }
 
 // Fault strikes at a time and lasts for a while.
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -112,7 +112,7 @@
 		Idle: e.Idle.D().Microseconds(), Age: e.Age.D().Microseconds(), Spread: e.Spread.D().Microseconds(), Keep: e.Keep.D().Microseconds(),
 		Grace: max(f.Limits.DrainGrace.D()-sessionMargin, 0).Microseconds()}, d.fleet)
 	d.fleet.OnNodes(d.sessions.SetNodes)
-	d.front = flightsql.New(flightsql.Options{Sessions: d.sessions, Age: e.Age.D(), Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
+	d.front = flightsql.New(flightsql.Options{Sessions: d.sessions, Idle: e.Idle.D(), Age: e.Age.D(), Log: d.log, Auth: auth, Seal: sealer, SchemaLife: r.SchemaLife.D(),
 		SchemaMost: r.SchemaMost, PassHeaders: f.Sending.PassHeaders}, d.desk)
 	d.native = clickhouse.New(clickhouse.Options{Log: d.log, Auth: auth, MaxPacket: f.Sending.MaxFrame, Revision: d.fleet.NativeRevision, Sessions: d.sessions,
 		InsertMost: r.InsertMost, InsertsHeld: r.InsertsHeld, SampleLife: r.SchemaLife.D(), SampleMost: r.SchemaMost}, d.desk)
--- a/dispatcher/insert_test.go
+++ b/dispatcher/insert_test.go
@@ -205,7 +205,7 @@
 				`, "limits": {"attempts": 3}`)
 			tokens := standin.NewTokens(time.Minute)
 			for _, n := range r.nodes {
-				n.Tokens = tokens
+				n.Share(tokens)
 			}
 			client := r.native(t, "u")
 			defer client.Close()
@@ -269,8 +269,8 @@
 				"deadline": "4s", "updates": "keyed", "window": "1m", "group": %q},`, group))
 			all := standin.NewTokens(time.Minute)
 			for _, n := range r.nodes {
-				if n.Tokens = all; group == "hall" {
-					n.Tokens = standin.NewTokens(time.Minute)
+				if n.Share(all); group == "hall" {
+					n.Share(standin.NewTokens(time.Minute))
 				}
 				n.Set(standin.Faults{Lost: true})
 			}
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -34,6 +34,7 @@
 	SchemaMost  int           // statements cached; default 4096
 	PassHeaders []string      // call headers passed on to nodes
 	Sessions    *front.Sessions
+	Idle        time.Duration // of a transaction without a statement
 	Age         time.Duration // of a transaction at most; its token is valid for so long
 }
 
--- a/front/flightsql/transaction.go
+++ b/front/flightsql/transaction.go
@@ -1,6 +1,7 @@
 package flightsql
 
 import (
+	"strconv"
 	"time"
 
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
@@ -101,6 +102,9 @@
 	w := &work{command: "ActionBeginTransactionRequest", statement: "BEGIN", call: &flightwire.Call{Kind: flightwire.Do,
 		Action: flightwire.Action{Type: "BeginTransaction", Body: flightwire.NewCommand("ActionBeginTransactionRequest", nil)}},
 		use: &front.Use{Kind: session.Begin, ID: front.NewSessionID(), Handle: handleOf}}
+	if f.opt.Idle > 0 { // were this dispatcher to vanish, the node ends it a little later than we would have
+		w.call.Headers = append(w.call.Headers, flightwire.HeaderIdle, strconv.FormatInt((f.opt.Idle+f.opt.Idle/2).Milliseconds(), 10))
+	}
 	v, err := f.ask(c, w)
 	if err == nil {
 		err = verdictError(v)
--- a/standin/flight.go
+++ b/standin/flight.go
@@ -203,9 +203,12 @@
 	if err := s.node.within(tx, text); err != nil {
 		return 0, err
 	}
-	defer s.node.wrote(tx, text)
-	h := parseHints(text)
-	return int64(h.rows), s.node.work(ctx, s.life, s.node.note(ctx, text, true), h, nil)
+	h, seen := parseHints(text), s.node.note(ctx, text, true)
+	err := s.node.work(ctx, s.life, seen, h, nil)
+	if seen.Ran {
+		s.node.wrote(tx, text)
+	}
+	return int64(h.rows), err
 }
 
 // CreatePreparedStatement gives a handle that holds the statement itself.
--- a/standin/node.go
+++ b/standin/node.go
@@ -60,8 +60,6 @@
 	Native  string // set by Start: where the ClickHouse native protocol is served
 	// Revision is the newest of the native protocol that it speaks; 0: the newest there is.
 	Revision int
-	// Tokens is shared by the nodes that drop each other's repeats of an INSERT; nil: it drops none.
-	Tokens *Tokens
 
 	model     Model
 	mu        sync.Mutex
@@ -70,6 +68,7 @@
 	fault     Faults
 	seen      []*Seen
 	news      chan struct{} // closed whenever seen changes
+	tokens    *Tokens       // shared by nodes that drop each other's repeats of a keyed update; nil: it drops none
 	conns     int           // of the native protocol
 	state     state         // of sessions
 	temporary int           // tables on native connections
@@ -240,6 +239,7 @@
 		}
 	}
 	for {
+		n.rollIdle()
 		f := n.faults()
 		if f.PauseFor == 0 {
 			if !wait(50 * time.Millisecond) {
@@ -338,6 +338,13 @@
 	return &Tokens{window: window, known: map[string]time.Time{}}
 }
 
+// Share makes the node drop what the others that share the tokens have done.
+func (n *Node) Share(t *Tokens) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.tokens = t
+}
+
 // take books a token; false where it is known already.
 func (t *Tokens) take(token string) bool {
 	t.mu.Lock()
@@ -401,7 +408,10 @@
 			return ctx.Err()
 		}
 	}
-	fresh := n.Tokens == nil || s.Token == "" || n.Tokens.take(s.Token)
+	n.mu.Lock()
+	tokens := n.tokens
+	n.mu.Unlock()
+	fresh := tokens == nil || s.Token == "" || tokens.take(s.Token)
 	n.mark(func() { s.Ran, s.Dropped = fresh, !fresh })
 	if n.faults().Lost {
 		<-ctx.Done()
--- a/standin/transaction.go
+++ b/standin/transaction.go
@@ -3,6 +3,8 @@
 import (
 	"context"
 	"fmt"
+	"strconv"
+	"time"
 
 	arrowsql "github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"google.golang.org/grpc/codes"
@@ -20,6 +22,8 @@
 // transaction is one that is open: its effects are seen when it is committed.
 type transaction struct {
 	session string
+	idle    time.Duration // rolled back after so long without a statement; 0: never
+	used    time.Time
 	writes  []string
 	points  map[string]int // savepoints: writes made before each
 }
@@ -57,6 +61,27 @@
 	return ""
 }
 
+// idleOf is how long a transaction may be idle, by its BEGIN's header.
+func idleOf(ctx context.Context) time.Duration {
+	md, _ := metadata.FromIncomingContext(ctx)
+	if v := md.Get("embershunt-session-idle-ms"); len(v) > 0 {
+		ms, _ := strconv.ParseInt(v[0], 10, 64)
+		return time.Duration(ms) * time.Millisecond
+	}
+	return 0
+}
+
+// rollIdle rolls back what was idle for too long: its dispatcher may be gone.
+func (n *Node) rollIdle() {
+	n.mark(func() {
+		for id, tx := range n.state.open {
+			if tx.idle > 0 && time.Since(tx.used) > tx.idle {
+				n.finish(id, false)
+			}
+		}
+	})
+}
+
 // within finds the transaction that a statement belongs to; one that is not here is tallied. n.mu is not held.
 func (n *Node) within(id []byte, statement string) error {
 	if len(id) == 0 {
@@ -64,7 +89,9 @@
 	}
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	if n.state.open[string(id)] == nil {
+	if tx := n.state.open[string(id)]; tx != nil {
+		tx.used = time.Now()
+	} else {
 		if statement == "ROLLBACK" { // of what is gone already: no harm
 			return status.Errorf(codes.NotFound, "no transaction %q here", id)
 		}
@@ -93,7 +120,7 @@
 		st := &s.node.state
 		st.serial++
 		id = fmt.Sprintf("%s-%d-%d", s.node.Name, s.life.started.UnixNano(), st.serial)
-		st.open[id] = &transaction{session: sessionOf(ctx), points: map[string]int{}}
+		st.open[id] = &transaction{session: sessionOf(ctx), idle: idleOf(ctx), used: time.Now(), points: map[string]int{}}
 		st.session[sessionOf(ctx)] = id
 	})
 	return []byte(id), s.node.lost(ctx)
