Announced drains are told to transactions; sessions counted by tenant

Need: the limit by tenant was not fed with tenants; nothing told a client that its node would drain. Change: tenants by name from the same rules as queries; drain_at in node lists, a call header with the time left. Tests: a drain while BEGIN is out, a client that vanishes, another dispatcher that goes on, an announced drain, a tenant at its limit, 40 sessions on one node that dies: told at once, come-back times spread over 4 s with 5 at most within 400 ms.

--- a/config/config.go
+++ b/config/config.go
@@ -92,8 +92,9 @@
 	Hall    string  `json:"hall"`
 	Kind    string  `json:"kind"`
 	Cell    int     `json:"cell"`
-	State   string  `json:"state"`   // healthy, draining or gone; empty: healthy
-	Started string  `json:"started"` // RFC 3339; empty: long ago
+	State   string  `json:"state"`    // healthy, draining or gone; empty: healthy
+	Started string  `json:"started"`  // RFC 3339; empty: long ago
+	DrainAt string  `json:"drain_at"` // RFC 3339, when a drain is announced for; empty: none
 	Weight  float64 `json:"weight"`
 }
 
--- a/config/nodes.go
+++ b/config/nodes.go
@@ -32,12 +32,18 @@
 	if n.Name == "" || n.Address == "" && n.Native == "" {
 		return out, fmt.Errorf("node %q at %q: name and address are needed", n.Name, n.Address)
 	}
-	if n.Started != "" {
-		t, err := time.Parse(time.RFC3339Nano, n.Started)
+	for _, at := range []struct {
+		field, text string
+		into        *time.Time
+	}{{"started", n.Started, &out.Started}, {"drain_at", n.DrainAt, &out.DrainAt}} {
+		if at.text == "" {
+			continue
+		}
+		t, err := time.Parse(time.RFC3339Nano, at.text)
 		if err != nil {
-			return out, fmt.Errorf("started %q of node %q: wanted is RFC 3339", n.Started, n.Name)
+			return out, fmt.Errorf("%s %q of node %q: wanted is RFC 3339", at.field, at.text, n.Name)
 		}
-		out.Started = t
+		*at.into = t
 	}
 	var err error
 	if out.Hall, err = c.Names().Hall(n.Hall); err == nil {
--- a/dispatcher/transaction_test.go
+++ b/dispatcher/transaction_test.go
@@ -4,6 +4,8 @@
 	"context"
 	"fmt"
 	"io"
+	"runtime"
+	"strconv"
 	"strings"
 	"sync"
 	"testing"
@@ -12,9 +14,12 @@
 	"github.com/apache/arrow-go/v18/arrow/flight"
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
+	"google.golang.org/grpc"
+	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"embershunt/choice"
+	"embershunt/dispatcher"
 	"embershunt/internal/flightwire"
 	"embershunt/nodelist"
 	"embershunt/standin"
@@ -367,3 +372,157 @@
 	body := flightwire.AppendVarint(flightwire.AppendBytes(nil, 1, token), 2, how)
 	return &flight.Action{Type: "EndTransaction", Body: flightwire.NewCommand("ActionEndTransactionRequest", body)}
 }
+
+// A drain while BEGIN is out; a client that vanishes; a dispatcher that takes a transaction over from another; a drain that is
+// announced; a tenant that has as many as it may; and a node that dies with all sessions: those are told one after another
+// when to come back.
+func TestTransactionsOnBadDays(t *testing.T) {
+	const key = `, "keys": ["000102030405060708090a0b0c0d0e0f101112131415161718191a1b1c1d1e1f"]`
+	rows := func(r *rig, change func(i int, n *nodelist.Node) bool) {
+		var out []nodelist.Node
+		for i, n := range r.nodes {
+			row := nodelist.Node{ID: n.Name, Address: n.Address, Native: n.Native}
+			if change(i, &row) {
+				out = append(out, row)
+			}
+		}
+		if err := r.d.Fleet().SetNodes(out); err != nil {
+			r.t.Fatal(err)
+		}
+	}
+	t.Run("a drain while BEGIN is out", func(t *testing.T) {
+		r := newRig(t, 1, `, "limits": {"drain_grace": "300ms"}`)
+		r.nodes[0].Set(standin.Faults{Hang: true})
+		done := make(chan error, 1)
+		ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+		defer cancel()
+		go func() {
+			_, err := r.client.BeginTransaction(ctx)
+			done <- err
+		}()
+		for _, held, _ := r.d.Sessions().Status(); held == 0 && len(done) == 0; _, held, _ = r.d.Sessions().Status() {
+			runtime.Gosched()
+		}
+		rows(r, func(_ int, n *nodelist.Node) bool { n.State = choice.Draining; return true })
+		if err := <-done; err == nil {
+			t.Error("begun")
+		}
+		r.nodes[0].Set(standin.Faults{})
+		r.settled()
+	})
+	t.Run("the client vanishes", func(t *testing.T) {
+		r := newRig(t, 2, `, "sessions": {"idle": "300ms"}`)
+		other := r.connect()
+		if _, err := other.BeginTransaction(t.Context()); err != nil {
+			t.Fatal(err)
+		}
+		other.Close()
+		r.settled()
+	})
+	t.Run("another dispatcher goes on", func(t *testing.T) {
+		r := newRig(t, 2, key)
+		tx, err := r.client.BeginTransaction(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.ExecuteUpdate(t.Context(), "INSERT INTO t VALUES (1)"); err != nil {
+			t.Fatal(err)
+		}
+		d, err := dispatcher.New(r.cfg, dispatcher.Options{Seed: 8})
+		if err != nil {
+			t.Fatal(err)
+		}
+		ctx, cancel := context.WithCancel(t.Context())
+		ended := make(chan error, 1)
+		go func() { ended <- d.Run(ctx) }()
+		defer func() { cancel(); <-ended }()
+		second := *r
+		second.d = d
+		second.client = second.connect()
+		defer second.client.Close()
+		if err := actionError(&second, tx.ID()); err != nil { // a commit
+			t.Error(err)
+		}
+		if n := len(r.committed()); n != 1 {
+			t.Errorf("%d statements were committed, want 1", n)
+		}
+		r.settled()
+	})
+	t.Run("a drain that is announced", func(t *testing.T) {
+		r := newRig(t, 1, "")
+		tx, err := r.client.BeginTransaction(t.Context())
+		if err != nil {
+			t.Fatal(err)
+		}
+		rows(r, func(_ int, n *nodelist.Node) bool { n.DrainAt = time.Now().Add(time.Minute); return true })
+		var header metadata.MD
+		if _, err := tx.ExecuteUpdate(t.Context(), "INSERT INTO t VALUES (1)", grpc.Header(&header)); err != nil {
+			t.Fatal(err)
+		}
+		ms := 0
+		if v := header.Get(flightwire.HeaderDrainsIn); len(v) == 1 {
+			ms, _ = strconv.Atoi(v[0])
+		}
+		if ms < 55000 || ms > 62000 {
+			t.Errorf("told %v, want about 62000 ms with the grace", header)
+		}
+		if err := tx.Commit(t.Context()); err != nil {
+			t.Error(err)
+		}
+	})
+	t.Run("a tenant that has its share", func(t *testing.T) {
+		r := newRig(t, 2, `, "tenants": [{"name": "motor", "per_second": 100}, {"name": "travel", "per_second": 100}], "sessions": {"per_tenant": 2},
+			"rules": [{"name": "m", "user": "^m$", "tenant": "motor"}, {"name": "t", "user": "^t$", "tenant": "travel"}]`)
+		begin := func(user string) string {
+			ctx, err := r.client.Client.AuthenticateBasicToken(t.Context(), user, "x")
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, err = r.client.BeginTransaction(ctx)
+			reason, _ := told(err)
+			return reason
+		}
+		for i, want := range []string{"", "", "TOO_MANY_SESSIONS"} {
+			if got := begin("m"); got != want && !(want == "" && got == "<nil>") {
+				t.Errorf("motor %d: %q, want %q", i, got, want)
+			}
+		}
+		if got := begin("t"); got != "<nil>" {
+			t.Errorf("travel: %q", got)
+		}
+	})
+	t.Run("all on one node when it dies", func(t *testing.T) {
+		r := newRig(t, 1, `, "sessions": {"spread": "4s"}`)
+		var all []*flightsql.Txn
+		for range 40 {
+			tx, err := r.client.BeginTransaction(t.Context())
+			if err != nil {
+				t.Fatal(err)
+			}
+			all = append(all, tx)
+		}
+		r.nodes[0].Die()
+		rows(r, func(int, *nodelist.Node) bool { return false })
+		back := map[int64]int{}
+		for _, tx := range all {
+			begin := time.Now()
+			err := tx.Commit(t.Context())
+			if reason, commit := told(err); reason != "NODE_GONE" || commit != "known not to have run" || time.Since(begin) > time.Second {
+				t.Fatalf("%v after %v", err, time.Since(begin))
+			}
+			for _, d := range status.Convert(err).Details() {
+				if i, ok := d.(*errdetails.RetryInfo); ok {
+					back[i.GetRetryDelay().AsDuration().Milliseconds()/400]++
+				}
+			}
+		}
+		for at, n := range back {
+			if n > 5 || at > 10 {
+				t.Errorf("%d come back within 400 ms, at %d ms", n, at*400)
+			}
+		}
+		if len(back) < 9 {
+			t.Errorf("come-back times %v", back)
+		}
+	})
+}
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -7,6 +7,7 @@
 	"context"
 	"errors"
 	"log/slog"
+	"strconv"
 	"strings"
 	"sync"
 	"time"
@@ -193,6 +194,9 @@
 			name = use.Tied.ID
 		}
 		w.call.Headers = append(w.call.Headers, flightwire.HeaderSession, name)
+		use.Notice = func(left time.Duration) {
+			c.stream.SetHeader(metadata.Pairs(flightwire.HeaderDrainsIn, strconv.FormatInt(left.Milliseconds(), 10)))
+		}
 		v, w.pin, err = f.opt.Sessions.Ask(c.ctx, call, *use)
 	}
 	f.leave(w.serial, id)
--- a/front/flightsql/transaction.go
+++ b/front/flightsql/transaction.go
@@ -25,7 +25,7 @@
 	b = flightwire.AppendBytes(b, 2, p.ID)
 	b = flightwire.AppendBytes(b, 3, p.Node)
 	b = flightwire.AppendBytes(b, 4, p.Handle)
-	b = flightwire.AppendVarint(b, 5, uint64(p.Tenant))
+	b = flightwire.AppendBytes(b, 5, p.Tenant)
 	if !p.Started.IsZero() {
 		b = flightwire.AppendVarint(b, 6, uint64(p.Started.UnixMicro()))
 	}
@@ -37,7 +37,7 @@
 	if err != nil {
 		return "", nil, malformed(err)
 	}
-	p = &front.Pinned{Tenant: int(varints[5]), Since: time.UnixMicro(int64(varints[7]))}
+	p = &front.Pinned{Since: time.UnixMicro(int64(varints[7]))}
 	if v := varints[6]; v > 0 {
 		p.Started = time.UnixMicro(int64(v))
 	}
@@ -51,6 +51,8 @@
 			p.Node = string(f.Value)
 		case 4:
 			p.Handle = f.Value
+		case 5:
+			p.Tenant = string(f.Value)
 		}
 	}
 	return user, p, nil
--- a/front/front.go
+++ b/front/front.go
@@ -81,6 +81,16 @@
 	return t.Deadlines[traits.Class]
 }
 
+// Tenant names the tenant that a call is of; "" where its hints cannot be used.
+func (d *Desk) Tenant(c Call) string {
+	t := d.Tables().Classes
+	traits, err := t.Classify(c.Facts)
+	if err != nil || traits.Tenant >= len(t.Tenants) {
+		return ""
+	}
+	return t.Tenants[traits.Tenant]
+}
+
 // Deadline is how long a call has from now on. The error is classify's.
 func (d *Desk) Deadline(c Call) (time.Duration, error) {
 	tables := d.Tables()
--- a/front/sessions.go
+++ b/front/sessions.go
@@ -48,7 +48,7 @@
 // Pinned is where a session's state is: all that another dispatcher needs to go on with it.
 type Pinned struct {
 	ID      string
-	Tenant  int
+	Tenant  string
 	Node    string
 	Started time.Time
 	Since   time.Time
@@ -97,6 +97,7 @@
 	Tenant int
 	Name   string                          // of the table, for Make and Drop
 	Lasts  bool                            // the session outlives its state
+	Notice func(left time.Duration)        // told how long the node still takes its work, where that has an end
 	Handle func(v dispatch.Verdict) []byte // of Begin: what the node calls the transaction
 }
 
@@ -106,8 +107,10 @@
 	if u.Tied != nil {
 		id = u.Tied.ID
 	}
+	tenant := s.desk.Tenant(c)
 	s.mu.Lock()
 	if t := u.Tied; t != nil {
+		tenant = t.Tenant
 		if since := s.clock.Now() - time.Since(t.Since).Microseconds(); s.known(id) == session.Free {
 			s.step(session.Resumed{ID: id, Tenant: t.Tenant, Node: t.Node, Started: t.Started, Since: since, Tx: true})
 		}
@@ -118,7 +121,7 @@
 	s.serial++
 	serial := s.serial
 	var run *session.Run
-	for _, a := range s.step(session.Asked{ID: id, Serial: serial, Tenant: u.Tenant, Kind: u.Kind, Name: u.Name, Reads: u.Reads, Tied: u.Tied != nil, Lasts: u.Lasts}) {
+	for _, a := range s.step(session.Asked{ID: id, Serial: serial, Tenant: tenant, Kind: u.Kind, Name: u.Name, Reads: u.Reads, Tied: u.Tied != nil, Lasts: u.Lasts}) {
 		switch a := a.(type) {
 		case session.Run:
 			run = &a
@@ -132,6 +135,9 @@
 	stop := make(chan session.Stop, 1)
 	s.running[serial] = stop
 	s.mu.Unlock()
+	if run.Notice > 0 && u.Notice != nil {
+		u.Notice(time.Duration(run.Notice) * time.Microsecond)
+	}
 	if c.Only = run.Only; u.Tied != nil {
 		c.Only = u.Tied.Node // never elsewhere, whatever the books say
 	}
@@ -158,7 +164,7 @@
 	}
 	for _, a := range s.step(done) {
 		if p, ok := a.(session.Pin); ok && p.ID == id {
-			pin = &Pinned{ID: id, Tenant: u.Tenant, Node: p.Node, Started: p.Started, Since: time.Now(), Handle: s.handles[id]}
+			pin = &Pinned{ID: id, Tenant: tenant, Node: p.Node, Started: p.Started, Since: time.Now(), Handle: s.handles[id]}
 		}
 	}
 	if err != nil {
@@ -212,11 +218,20 @@
 			started = time.UnixMicro(started.UnixMicro())
 		}
 		s.nodes[n.ID] = started
-		ev.Nodes = append(ev.Nodes, session.Node{ID: n.ID, Draining: n.State == choice.Draining, Started: started})
+		ev.Nodes = append(ev.Nodes, session.Node{ID: n.ID, Draining: n.State == choice.Draining, Started: started,
+			DrainsIn: drainsIn(n.DrainAt)})
 	}
 	s.step(ev)
 }
 
+// drainsIn is how long until an announced drain; 0 where there is none.
+func drainsIn(at time.Time) session.Micros {
+	if at.IsZero() {
+		return 0
+	}
+	return max(time.Until(at).Microseconds(), 1)
+}
+
 // Status counts the sessions known, those with state, and these by node.
 func (s *Sessions) Status() (known, held int, byNode map[string]int) {
 	s.mu.Lock()
--- a/internal/flightwire/call.go
+++ b/internal/flightwire/call.go
@@ -35,6 +35,7 @@
 	HeaderPriority = "embershunt-priority"        // 0 to 3
 	HeaderMemory   = "embershunt-memory-mb"       // grant in MB; absent: the node's own choice
 	HeaderSession  = "embershunt-session"         // name of the session that a transaction belongs to
+	HeaderDrainsIn = "embershunt-drains-in-ms"    // header to clients: their transaction's node takes its work for so long
 	HeaderIdle     = "embershunt-session-idle-ms" // with BeginTransaction: roll it back after so long without a statement
 	HeaderRan      = "embershunt-ran"             // trailer of a refusal: "no" proves that nothing ran
 	ActionRelease  = "embershunt.release"         // body: name of a session whose state is to be ended, whatever it is
--- a/nodelist/eds.go
+++ b/nodelist/eds.go
@@ -13,7 +13,8 @@
 	"embershunt/choice"
 )
 
-// MetadataKey is the filter metadata of an endpoint with our own words: name, kind, cell, started (Unix seconds).
+// MetadataKey is the filter metadata of an endpoint with our own words: name, kind, cell, started and drain_at (Unix
+// seconds).
 const MetadataKey = "embershunt"
 
 // FromAssignment reads a list out of xDS v3 (endpoint.proto). The locality's zone is the hall, the health status DRAINING
@@ -57,6 +58,9 @@
 	if at := fields["started"].GetNumberValue(); at > 0 {
 		n.Started = time.UnixMicro(int64(at * 1e6))
 	}
+	if at := fields["drain_at"].GetNumberValue(); at > 0 {
+		n.DrainAt = time.UnixMicro(int64(at * 1e6))
+	}
 	if p.GetHealthStatus() == corev3.HealthStatus_DRAINING {
 		n.State = choice.Draining
 	}
--- a/nodelist/nodelist.go
+++ b/nodelist/nodelist.go
@@ -21,6 +21,7 @@
 	State   choice.EngineState
 	Weight  float64   // 0 counts as 1
 	Started time.Time // last start; zero: long ago
+	DrainAt time.Time // when a drain is announced for; zero: none
 }
 
 // Bits of the protocols that a node may speak.
--- a/session/course.go
+++ b/session/course.go
@@ -219,7 +219,10 @@
 			m.nodes[r.ID] = n
 		}
 		restarted := n.listed && !n.started.Equal(r.Started)
-		n.listed, n.started = true, r.Started
+		n.listed, n.started, n.drainAt = true, r.Started, 0
+		if r.DrainsIn > 0 {
+			n.drainAt = m.now + r.DrainsIn
+		}
 		switch {
 		case !r.Draining:
 			n.told = 0
--- a/session/session.go
+++ b/session/session.go
@@ -106,7 +106,7 @@
 	Asked struct {
 		ID     string // of the session; one that is not known begins
 		Serial uint64 // of the statement, never used twice
-		Tenant int
+		Tenant string // by name: numbers change with the settings
 		Kind   Kind
 		Name   string // of the table or option, for Make and Drop
 		Reads  bool   // it changes nothing, not even within a transaction
@@ -117,7 +117,7 @@
 	// checked the token that says so.
 	Resumed struct {
 		ID      string
-		Tenant  int
+		Tenant  string
 		Node    string
 		Started time.Time // of the node, when the state was made
 		Since   Micros    // when its state began; may lie before the clock's begin
@@ -150,6 +150,7 @@
 	ID       string
 	Draining bool
 	Started  time.Time // zero: long ago
+	DrainsIn Micros    // a drain that is announced: after so long; 0: none
 }
 
 func (Asked) isEvent()    {}
@@ -170,6 +171,8 @@
 		ID     string
 		Serial uint64
 		Only   string
+		// Notice is how long the session's node still takes its work, where that has an end: it drains, or will.
+		Notice Micros
 	}
 	// Refuse turns a statement away; nothing was sent for it. State tells what became of the session, ComeBack when
 	// to begin anew.
@@ -212,7 +215,7 @@
 // entry is one session.
 type entry struct {
 	id      string
-	tenant  int
+	tenant  string
 	state   State
 	final   State // what Ending leads to
 	why     Why   // of Ending, Lost and Expired
@@ -242,6 +245,7 @@
 	listed  bool
 	started time.Time
 	told    Micros // when its drain or end was told; 0: it is healthy
+	drainAt Micros // when an announced drain begins; 0: none
 	pins    []*entry
 }
 
@@ -252,15 +256,15 @@
 	out     []Action
 	all     map[string]*entry
 	nodes   map[string]*node
-	tenants map[int]int // sessions with state, by tenant
-	held    int         // sessions with state, or on the way to it
-	heard   bool        // of a node list
-	due     queue       // what is looked at next, by time
+	tenants map[string]int // sessions with state, by tenant
+	held    int            // sessions with state, or on the way to it
+	heard   bool           // of a node list
+	due     queue          // what is looked at next, by time
 }
 
 // New returns a module without sessions.
 func New(l Limits) *Module {
-	return &Module{limits: l, all: map[string]*entry{}, nodes: map[string]*node{}, tenants: map[int]int{}}
+	return &Module{limits: l, all: map[string]*entry{}, nodes: map[string]*node{}, tenants: map[string]int{}}
 }
 
 // Step plays one event and returns what to do.
@@ -363,14 +367,26 @@
 		e.lasts = ev.Lasts
 	}
 	e.running, e.used = &ev, m.now
-	m.do(Run{ID: ev.ID, Serial: ev.Serial, Only: e.node})
+	m.do(Run{ID: ev.ID, Serial: ev.Serial, Only: e.node, Notice: m.notice(e)})
+}
+
+// notice is how long a session's node still takes its work; 0 where no end is known.
+func (m *Module) notice(e *entry) Micros {
+	n := m.nodes[e.node]
+	switch {
+	case n == nil || n.told == 0 && n.drainAt == 0:
+		return 0
+	case n.told > 0:
+		return max(n.told+m.limits.Grace-m.now, 1)
+	}
+	return max(n.drainAt+m.limits.Grace-m.now, 1)
 }
 
 // earlyBack is when a node list may be there.
 const earlyBack = Micros(500e3)
 
 // add makes a session that is counted from now on.
-func (m *Module) add(id string, tenant int) *entry {
+func (m *Module) add(id, tenant string) *entry {
 	e := &entry{id: id, tenant: tenant, since: m.now, used: m.now, at: -1, counted: true}
 	m.all[id] = e
 	m.held++
--- a/session/session_test.go
+++ b/session/session_test.go
@@ -79,7 +79,7 @@
 
 // check compares the module's books with each other.
 func (w *world) check() {
-	held, tenants, pins := 0, map[int]int{}, map[string]int{}
+	held, tenants, pins := 0, map[string]int{}, map[string]int{}
 	for id, e := range w.m.all {
 		if e.id != id {
 			w.fail("%s is booked as %s", e.id, id)
@@ -108,7 +108,7 @@
 	}
 	for t, n := range tenants {
 		if w.m.tenants[t] != n || n > w.m.limits.PerTenant {
-			w.fail("tenant %d has %d, booked %d", t, n, w.m.tenants[t])
+			w.fail("tenant %s has %d, booked %d", t, n, w.m.tenants[t])
 		}
 	}
 	for id, n := range w.m.nodes {
@@ -220,7 +220,7 @@
 			switch rapid.IntRange(0, 9).Draw(r, "event") {
 			case 0, 1, 2, 3:
 				serial++
-				ev := Asked{ID: id, Serial: serial, Tenant: len(id) % 2, Kind: Kind(rapid.IntRange(0, 5).Draw(r, "kind")),
+				ev := Asked{ID: id, Serial: serial, Tenant: fmt.Sprint(len(id) % 2), Kind: Kind(rapid.IntRange(0, 5).Draw(r, "kind")),
 					Name: rapid.SampledFrom([]string{"t1", "t2", "t3", "t4"}).Draw(r, "name"), Reads: rapid.Bool().Draw(r, "reads"), Lasts: id < "s3"}
 				ev.Tied = w.pinned[id] != ""
 				answered(w.step(ev), ev)
