--- a/dispatcher/transaction_test.go
+++ b/dispatcher/transaction_test.go
@@ -456,9 +456,17 @@
 		}
 		rows(r, func(_ int, n *nodelist.Node) bool { n.DrainAt = time.Now().Add(time.Minute); return true })
 		var header metadata.MD
-		if _, err := tx.ExecuteUpdate(t.Context(), "INSERT INTO t VALUES (1)", grpc.Header(&header)); err != nil {
+		info, err := tx.Execute(t.Context(), "SELECT 1 /* rows=1 */")
+		if err != nil {
 			t.Fatal(err)
 		}
+		reader, err := r.client.DoGet(t.Context(), info.Endpoint[0].Ticket, grpc.Header(&header))
+		if err != nil {
+			t.Fatal(err)
+		}
+		for reader.Next() {
+		}
+		reader.Release()
 		ms := 0
 		if v := header.Get(flightwire.HeaderDrainsIn); len(v) == 1 {
 			ms, _ = strconv.Atoi(v[0])
