--- a/day/print.go
+++ b/day/print.go
@@ -30,6 +30,7 @@
 	}
 	if s := &r.Sessions; s.Begun > 0 {
 		fmt.Fprintf(w, "transactions begun\t%d, turned away %d, left open on nodes at the end %d\n", s.Begun, s.NotBegun, s.Open)
+		fmt.Fprintf(w, "transactions begun by node\t%v\n", s.ByNode)
 		for _, k := range slices.Sorted(maps.Keys(s.Ends)) {
 			fmt.Fprintf(w, "transactions %s\t%d\n", k, s.Ends[k])
 		}
--- a/day/transactions.go
+++ b/day/transactions.go
@@ -150,6 +150,7 @@
 	Ends            map[string]int
 	Reasons         map[string]int
 	Open            int // left on nodes in the end
+	ByNode          []int
 }
 
 // transactions compares what clients were told with what became visible on nodes, once.
@@ -168,6 +169,7 @@
 				seen[number] = append(seen[number], statement)
 			}
 		}
+		rep.Sessions.ByNode = append(rep.Sessions.ByNode, t.Begun)
 		rep.Sessions.Open += n.Transactions()
 	}
 	rep.Sessions.Ends, rep.Sessions.Reasons = map[string]int{}, map[string]int{}
--- a/dispatcher/transaction_test.go
+++ b/dispatcher/transaction_test.go
@@ -15,10 +15,14 @@
 	"github.com/apache/arrow-go/v18/arrow/flight/flightsql"
 	"google.golang.org/genproto/googleapis/rpc/errdetails"
 	"google.golang.org/grpc"
+	"google.golang.org/grpc/codes"
 	"google.golang.org/grpc/metadata"
 	"google.golang.org/grpc/status"
 
 	"embershunt/choice"
+	"embershunt/control"
+	"embershunt/control/configv1"
+	"embershunt/control/stream"
 	"embershunt/dispatcher"
 	"embershunt/internal/flightwire"
 	"embershunt/nodelist"
@@ -478,6 +482,46 @@
 			t.Error(err)
 		}
 	})
+	t.Run("its class ends in the settings", func(t *testing.T) {
+		c := standin.NewControl("nodes")
+		if err := c.Start(); err != nil {
+			t.Fatal(err)
+		}
+		defer c.Stop()
+		r := controlled(t, c, 2, "")
+		c.Set(listed(r), "")
+		with := func(n uint64, audit bool) {
+			t.Helper()
+			c.Put(stream.SettingsName, settings(t, n, func(s *control.Set) {
+				if audit {
+					s.Classes.Classes = append(s.Classes.Classes, &configv1.Class{Name: "audit", AimUs: 8e6, DeadlineUs: 9e6})
+				}
+			})...)
+			r.until("a set in force", func(s control.Status) bool { return s.Number == n && s.Versions["nodes"] != "" })
+		}
+		with(1, true)
+		ctx := metadata.AppendToOutgoingContext(t.Context(), "embershunt-class", "audit")
+		tx, err := r.client.BeginTransaction(ctx)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := tx.ExecuteUpdate(ctx, "INSERT INTO t VALUES (1)"); err != nil {
+			t.Fatal(err)
+		}
+		with(2, false)
+		if _, err := tx.ExecuteUpdate(ctx, "INSERT INTO t VALUES (2)"); status.Code(err) != codes.InvalidArgument {
+			t.Errorf("a class that ended: %v", err)
+		}
+		if _, err := tx.ExecuteUpdate(t.Context(), "INSERT INTO t VALUES (3)"); err != nil {
+			t.Error(err)
+		}
+		if err := tx.Commit(t.Context()); err != nil {
+			t.Error(err)
+		}
+		if n := len(r.committed()); n != 2 {
+			t.Errorf("%d statements were committed, want 2", n)
+		}
+	})
 	t.Run("a tenant that has its share", func(t *testing.T) {
 		r := newRig(t, 2, `, "tenants": [{"name": "motor", "per_second": 100}, {"name": "travel", "per_second": 100}], "sessions": {"per_tenant": 2},
 			"rules": [{"name": "m", "user": "^m$", "tenant": "motor"}, {"name": "t", "user": "^t$", "tenant": "travel"}]`)
--- a/standin/transaction.go
+++ b/standin/transaction.go
@@ -30,6 +30,7 @@
 
 // Tally is what sessions did at a node, over all its lives.
 type Tally struct {
+	Begun     int            // transactions
 	Committed []string       // statements that became visible, in order
 	Commits   map[string]int // by session: how often one was committed
 	Misplaced []string       // statements that came where their state was not
@@ -46,7 +47,7 @@
 func (n *Node) Tally() Tally {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	t := Tally{Committed: append([]string(nil), n.tally.Committed...), Misplaced: append([]string(nil), n.tally.Misplaced...), Commits: map[string]int{}}
+	t := Tally{Begun: n.tally.Begun, Committed: append([]string(nil), n.tally.Committed...), Misplaced: append([]string(nil), n.tally.Misplaced...), Commits: map[string]int{}}
 	for k, v := range n.tally.Commits {
 		t.Commits[k] = v
 	}
@@ -119,6 +120,7 @@
 	s.node.mark(func() {
 		st := &s.node.state
 		st.serial++
+		s.node.tally.Begun++
 		id = fmt.Sprintf("%s-%d-%d", s.node.Name, s.life.started.UnixNano(), st.serial)
 		st.open[id] = &transaction{session: sessionOf(ctx), idle: idleOf(ctx), used: time.Now(), points: map[string]int{}}
 		st.session[sessionOf(ctx)] = id
