Decisions recorded and replayed: the same build decides the same again

Change: trace/ writes what the module was told and decided in checksummed zstd blocks, off the loop, with drops counted and marked; emberreplay decides it anew and names the first difference.

--- a/config/config.go
+++ b/config/config.go
@@ -192,7 +192,10 @@
 type Log struct {
 	Level  string `json:"level"`  // debug, info, warn or error
 	Format string `json:"format"` // json or console
-	Traces string `json:"traces"` // file that spans are appended to, as JSON; empty: none
+	// Decisions is the file that all decisions are recorded in, for emberreplay; empty: none. It ends at DecisionsMost bytes.
+	Decisions     string `json:"decisions"`
+	DecisionsMost int    `json:"decisions_most_bytes"`
+	Traces        string `json:"traces"` // file that spans are appended to, as JSON; empty: none
 }
 
 // Rule gives traits to queries that meet all of its conditions.
@@ -321,6 +324,7 @@
 	}
 	or(&f.Log.Level, "info")
 	or(&f.Log.Format, "json")
+	or(&f.Log.DecisionsMost, 1<<30)
 }
 
 // Effective is the configuration with all defaults, as JSON.
--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -77,7 +77,7 @@
 }
 
 // change puts new settings in force; on an error nothing has changed.
-func (c *Core) change(ch Change) error {
+func (c *Core) change(at Micros, ch Change) error {
 	if _, ok := c.numbers.of[ch.Version]; ok {
 		return fmt.Errorf("dispatch: version %d was in force before: each change has a number of its own", ch.Version)
 	}
@@ -89,9 +89,13 @@
 		}
 		return out
 	}
-	if err := c.gateway.Change(ch.Settings, from(now.classes, old.classes), from(now.tenants, old.tenants)); err != nil {
+	classes, tenants := from(now.classes, old.classes), from(now.tenants, old.tenants)
+	if err := c.gateway.Change(ch.Settings, classes, tenants); err != nil {
 		return err
 	}
+	if c.recorder != nil {
+		c.recorder.Changed(at, ch.Settings, classes, tenants)
+	}
 	for _, e := range c.books.entries { // each by itself: the order does not matter
 		if e.final == 0 {
 			c.numbers.settle(e.q, now, old)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -22,8 +22,11 @@
 	woken    bool // wakeAt is set
 	draining bool
 	numbers  numbering
-	actions  int // of this step
-	at       int // event of this step that is being played
+	seed     uint64
+	settings choice.Settings // at the start
+	recorder Recorder        // nil: none
+	actions  int             // of this step
+	at       int             // event of this step that is being played
 	events   []choice.Event
 	extra    []choice.Event
 }
@@ -55,10 +58,23 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{gateway: g, fleet: f, observe: o, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}},
+	return &Core{seed: seed, settings: s, gateway: g, fleet: f, observe: o, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}},
 		numbers: newNumbering(s)}, nil
 }
 
+// Recorder is told all that the module is told and decides, in order. It must not block and must copy what it keeps.
+type Recorder interface {
+	Began(now Micros, seed uint64, s choice.Settings)
+	Stepped(now Micros, events []choice.Event, actions []choice.Action)
+	Changed(now Micros, s choice.Settings, classes, tenants []int)
+}
+
+// Record has a recorder told of everything from now on; call it before the first Step.
+func (c *Core) Record(now Micros, r Recorder) {
+	c.recorder = r
+	r.Began(now, c.seed, c.settings)
+}
+
 // Held is the number of queries that have no final answer yet.
 func (c *Core) Held() int { return len(c.books.due) }
 
@@ -108,7 +124,7 @@
 		c.at = i
 		if ch, ok := ev.(Change); ok { // the module hears first of what came before it
 			c.play(now)
-			ch.Done(c.change(ch))
+			ch.Done(c.change(now, ch))
 			continue
 		}
 		if look, ok := ev.(Look); ok {
@@ -135,6 +151,9 @@
 	// What the module asks for may end at once (a send that must not leave): its outcome is told in the same moment.
 	for first := true; first || len(c.events) > 0; first = false {
 		out := c.gateway.Step(now, c.events)
+		if c.recorder != nil {
+			c.recorder.Stepped(now, c.events, out)
+		}
 		c.actions += len(out)
 		c.extra = c.extra[:0]
 		for _, a := range out {
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -403,7 +403,7 @@
 			for b.Loop() {
 				version++
 				s.Classes[0], s.Classes[1] = s.Classes[1], s.Classes[0]
-				if err := core.change(Change{Version: version, Settings: s}); err != nil {
+				if err := core.change(0, Change{Version: version, Settings: s}); err != nil {
 					b.Fatal(err)
 				}
 			}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,6 +52,7 @@
 	metrics  net.Listener
 	socket   net.Listener
 	control  *controller // nil: nothing is streamed
+	record   *recording  // nil: decisions are not recorded
 }
 
 // Options are what a configuration does not say.
@@ -95,6 +96,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.record, err = newRecording(f, core, d.clock, d.registry); err != nil {
+		return nil, err
+	}
 	d.loop = dispatch.NewLoop(core, d.clock)
 	d.fleet.Bind(d.loop)
 	var auth front.Authenticator = flightsql.AnyUser{}
@@ -211,6 +215,9 @@
 		defer close(stop)
 		return d.loop.Run(ctx)
 	})
+	if d.record != nil {
+		group.Go(func() error { return d.record.run(stop, d.log) })
+	}
 	during, over := context.WithCancel(ctx)
 	group.Go(func() error {
 		defer over()
--- /dev/null
+++ b/dispatcher/recording_test.go
@@ -0,0 +1,49 @@
+package dispatcher_test
+
+import (
+	"fmt"
+	"os"
+	"path/filepath"
+	"sync"
+	"testing"
+
+	"embershunt/choice"
+	"embershunt/standin"
+	"embershunt/trace"
+)
+
+// What a dispatcher decided under load, with nodes failing, is decided again by the same build.
+func TestDecisionsAreRecordedAndReplayed(t *testing.T) {
+	file := filepath.Join(t.TempDir(), "decisions")
+	r := newRig(t, 3, fmt.Sprintf(`, "log": {"decisions": %q}`, file))
+	r.nodes[0].Set(standin.Faults{Fail: 0.5})
+	var group sync.WaitGroup
+	for range 20 {
+		group.Add(1)
+		go func() {
+			defer group.Done()
+			for range 20 {
+				r.query(t.Context(), "SELECT 1 /* rows=2 work_ms=3 cost_ms=3 */")
+			}
+		}()
+	}
+	group.Wait()
+	r.cancel()
+	r.ended <- <-r.ended
+	f, err := os.Open(file)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer f.Close()
+	src, err := trace.NewReader(f)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep, err := trace.Replay(src, func(seed uint64, s choice.Settings) (trace.Module, error) { return choice.New(seed, s) })
+	if err != nil || rep.Differ != 0 || rep.Damage != nil || rep.Dropped != 0 || rep.Events < 800 || rep.Actions < 400 {
+		t.Errorf("%+v, %v", rep, err)
+	}
+	if rep.First != nil {
+		t.Errorf("%+v", *rep.First)
+	}
+}
--- /dev/null
+++ b/trace/trace_test.go
@@ -0,0 +1,185 @@
+package trace
+
+import (
+	"bytes"
+	"errors"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"testing"
+
+	"embershunt/choice"
+	"embershunt/trace/tracev1"
+)
+
+func settings() choice.Settings {
+	return choice.Settings{Peers: 2, MaxAttempts: 3, CanCancel: true, ReportsByAnswer: true, GrantsCount: true, PriorityCount: true, MaxGrantShare: 0.5,
+		ColdFrom: 0.3, ColdFor: 1e7, FallMultiple: 2, FallFor: 2e6, DrainGrace: 1e6, Kinds: []choice.Kind{{Cores: 8, MemoryMB: 16000}},
+		Classes: []choice.Class{{Name: "a", Worth: 1, Aim: 1e6, Deadline: 4e6, Threads: 1}, {Name: "b", Worth: 10, LateWorth: 0.4, Aim: 3e6, Deadline: 15e6, Threads: 4}}}
+}
+
+// play runs a module through a day of chance with the recorder listening.
+func play(t testing.TB, r *Recorder, steps int, seed uint64) {
+	s := settings()
+	g, err := choice.New(seed, s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	rng := rand.New(rand.NewPCG(seed, 1))
+	now := choice.Micros(1e8)
+	r.Began(now, seed, s)
+	step := func(events ...choice.Event) []choice.Action {
+		acts := g.Step(now, events)
+		r.Stepped(now, events, acts)
+		return acts
+	}
+	rows := []choice.Engine{{ID: "e0"}, {ID: "e1"}, {ID: "e2", Started: 9e7}}
+	step(choice.Engines{Whole: true, Rows: rows})
+	tries := map[string]int{}
+	for i := range steps {
+		now += int64(rng.IntN(20000))
+		if i == steps/2 {
+			s.MaxAttempts = 2
+			if err := g.Change(s, []int{0, 1}, nil); err != nil {
+				t.Fatal(err)
+			}
+			r.Changed(now, s, []int{0, 1}, nil)
+		}
+		acts := step(choice.Request{ID: fmt.Sprint("q", i), Class: i % 2, Cost: 50000, MemoryMB: 10, Due: now + 4e6}, choice.Alarm{})
+		for len(acts) > 0 {
+			var events []choice.Event
+			for _, a := range acts {
+				if a, ok := a.(choice.Send); ok {
+					events = append(events, choice.Outcome{ID: a.ID, Attempt: tries[a.ID], Engine: a.Engine, Code: choice.Code(rng.IntN(3) / 2), Over: true,
+						Took: int64(rng.IntN(90000)), Load: &choice.Load{Util: rng.Float64(), InFlight: 1, Queue: -1, Memory: -1, Disk: -1}})
+					tries[a.ID]++
+				}
+			}
+			if acts = nil; len(events) > 0 {
+				now += 1000
+				acts = step(events...)
+			}
+		}
+	}
+}
+
+// written is a recording as bytes.
+func written(t testing.TB, steps int, seed uint64) []byte {
+	r := NewRecorder("d", "test")
+	r.in = make(chan any, 10*steps+10)
+	play(t, r, steps, seed)
+	var b bytes.Buffer
+	w, err := NewWriter(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	close(stop)
+	if err := r.Run(stop, w, 0); err != nil {
+		t.Fatal(err)
+	}
+	if int64(b.Len()) != w.Bytes() {
+		t.Errorf("%d bytes, counted %d", b.Len(), w.Bytes())
+	}
+	return b.Bytes()
+}
+
+func replay(t testing.TB, file []byte, change func(*choice.Settings)) *Report {
+	src, err := NewReader(bytes.NewReader(file))
+	if err != nil {
+		t.Fatal(err)
+	}
+	rep, err := Replay(src, func(seed uint64, s choice.Settings) (Module, error) {
+		if change != nil {
+			change(&s)
+		}
+		return choice.New(seed, s)
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return rep
+}
+
+// The same build decides the same again, over a change of the settings too; other settings differ, and where is told.
+func TestReplay(t *testing.T) {
+	file := written(t, 2000, 5)
+	rep := replay(t, file, nil)
+	if rep.Begins != 1 || rep.Steps < 2000 || rep.Actions == 0 || rep.Differ != 0 || rep.First != nil || rep.Damage != nil {
+		t.Errorf("%+v", rep)
+	}
+	t.Logf("%d steps, %d events, %d actions in %d bytes", rep.Steps, rep.Events, rep.Actions, len(file))
+	rep = replay(t, file, func(s *choice.Settings) { s.GrantsCount, s.PriorityCount = false, false })
+	if rep.First == nil || rep.Differ == 0 || rep.ByKind["-Terms"] == 0 {
+		t.Errorf("without terms: %+v", rep)
+	}
+}
+
+// A file that ends anywhere is read up to its last whole block; a changed byte is told, with its place; what is no trace is.
+func TestDamagedTraces(t *testing.T) {
+	file := written(t, 6000, 6)
+	whole := replay(t, file, nil)
+	if _, err := NewReader(bytes.NewReader([]byte("PARQUET1...."))); err == nil {
+		t.Error("no trace was taken for one")
+	}
+	for _, at := range []int{len(Magic) + 3, len(file) / 2, len(file) - 1} {
+		rep := replay(t, file[:at], nil)
+		var d *DamageError
+		if !errors.As(rep.Damage, &d) || rep.Differ != 0 || rep.Steps > whole.Steps {
+			t.Errorf("cut at %d: %+v", at, rep)
+		}
+		spoilt := bytes.Clone(file)
+		spoilt[at] ^= 0x10
+		if rep = replay(t, spoilt, nil); !errors.As(rep.Damage, &d) || rep.Differ != 0 {
+			t.Errorf("spoilt at %d: %+v", at, rep)
+		}
+	}
+}
+
+// A writer that cannot keep up loses steps, and says so: nothing is compared across the gap.
+func TestDropsAreMarked(t *testing.T) {
+	r := NewRecorder("d", "test")
+	r.in = make(chan any, 100)
+	play(t, r, 500, 7)
+	if r.Drops() == 0 {
+		t.Fatal("nothing was dropped")
+	}
+	var b bytes.Buffer
+	w, err := NewWriter(&b)
+	if err != nil {
+		t.Fatal(err)
+	}
+	stop := make(chan struct{})
+	close(stop)
+	if err := r.Run(stop, w, 0); err != nil {
+		t.Fatal(err)
+	}
+	if rep := replay(t, b.Bytes(), nil); rep.Dropped != r.Drops() || rep.Differ != 0 || rep.Steps+rep.Skipped == 0 {
+		t.Errorf("%+v, dropped were %d", rep, r.Drops())
+	}
+}
+
+func FuzzReader(f *testing.F) {
+	f.Add(written(f, 3, 1))
+	f.Fuzz(func(t *testing.T, b []byte) {
+		src, err := NewReader(bytes.NewReader(b))
+		if err != nil {
+			return
+		}
+		for {
+			r, err := src.Next()
+			if err != nil {
+				var d *DamageError
+				if !errors.Is(err, io.EOF) && !errors.As(err, &d) {
+					t.Fatal(err)
+				}
+				return
+			}
+			if s, ok := r.GetWhat().(*tracev1.Record_Step); ok {
+				for _, ev := range s.Step.GetEvents() {
+					eventIn(ev)
+				}
+			}
+		}
+	})
+}
