--- a/cmd/embernode/main.go
+++ b/cmd/embernode/main.go
@@ -17,6 +17,7 @@
 
 var cli struct {
 	Listen   string        `short:"l" default:"127.0.0.1:33011" help:"Address, as host:port."`
+	Native   string        `default:"127.0.0.1:0" help:"Address of the ClickHouse native protocol, as host:port; port 0 is any."`
 	Name     string        `short:"n" default:"node-1" help:"Name, shown in the column \"node\"."`
 	Cores    int           `default:"8" help:"Cores shared."`
 	MemoryMB float64       `name:"memory-mb" default:"16384" help:"Memory granted."`
@@ -39,11 +40,12 @@
 	n := standin.NewNode(cli.Name, standin.Model{Cores: cli.Cores, MemoryMB: cli.MemoryMB, ColdFor: cli.ColdFor}, cli.Seed)
 	n.Set(standin.Faults{Hang: cli.Hang, Lost: cli.Lose, Full: cli.Full, Fail: cli.Fail, Slow: cli.Slow,
 		StallRow: cli.Stall, CutRow: cli.Cut})
+	n.Native = cli.Native
 	if err := n.Start(cli.Listen, cli.Cold); err != nil {
 		fmt.Fprintln(os.Stderr, "embernode:", err)
 		os.Exit(1)
 	}
-	fmt.Println(cli.Name, "serves", n.Address)
+	fmt.Println(cli.Name, "serves", n.Address, "and natively", n.Native)
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	<-ctx.Done()
