Warm starts: what the module has learned is kept, and taken in as far as it still holds

Need: a restarted dispatcher knew nothing of costs, prices and slow nodes. Seen on the way: the start of a node was reckoned anew with each list and differed by microseconds, so that all that was known of it was thrown away at every list. A start is reckoned once.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -812,6 +812,7 @@
 		if e == nil {
 			e = g.meet(r)
 			e.coldSince, e.slow = r.Started, g.crowd.v
+			g.recall(e)
 		} else if r.Started != e.Started { // restarted: nothing learned holds any more
 			e.coldSince, e.suspect, e.warm = max(r.Started, e.coldSince), false, nil
 			e.faults, e.slow = 0, g.crowd.v
--- /dev/null
+++ b/choice/learned.go
@@ -0,0 +1,113 @@
+package choice
+
+import "fmt"
+
+// This file writes down what a gateway has learned and takes it in again. It decides nothing: what is too old to be taken
+// is the caller's word.
+
+// LearnedVersion is the form of Learned; another one is refused.
+const LearnedVersion = 1
+
+// Learned is what a gateway knows beside what is open: of its classes, of the fleet as a whole and of single engines.
+type Learned struct {
+	Version int
+	Classes []LearnedClass
+	Fleet   LearnedFleet
+	Engines []LearnedEngine // in the order of the list
+}
+
+// Running is a mean or rank with the count behind it.
+type Running struct{ V, N float64 }
+
+// LearnedClass is what was learned of one class.
+type LearnedClass struct {
+	Name                             string
+	Mean, Heft, Asked, Ratio, Memory Running
+	Taken, Stray, StrayN, Margin     float64
+	Fit                              [5]float64
+	Price, Wait                      [levels]float64
+}
+
+// LearnedFleet is what was learned of all engines together and of own traffic.
+type LearnedFleet struct {
+	Stretch                     [2]float64
+	Threads, Rate, MeanRate, MB float64
+	Sent, Took, Cost, Crowd     Running
+	Room, Open                  float64
+}
+
+// LearnedEngine is what was learned of one engine in its present life.
+type LearnedEngine struct {
+	ID           string
+	Started      Micros
+	Slow, Faults float64
+}
+
+// Learned returns what the gateway knows now.
+func (g *Gateway) Learned() Learned {
+	run := func(a average) Running { return Running{a.v, a.n} }
+	rank := func(q quantile) Running { return Running{q.v, q.n} }
+	l := Learned{Version: LearnedVersion, Fleet: LearnedFleet{Stretch: g.stretch, Threads: g.meanThreads, Rate: g.rate, MeanRate: g.meanRate,
+		MB: g.meanMB, Sent: run(g.meanSent), Took: run(g.meanTook), Cost: run(g.meanCost), Crowd: rank(g.crowd), Room: g.room, Open: g.meanOpen}}
+	for i := range g.classes {
+		c := &g.classes[i]
+		l.Classes = append(l.Classes, LearnedClass{Name: c.Name, Mean: run(c.mean), Heft: run(c.heft), Asked: rank(c.asked), Ratio: rank(c.ratio),
+			Memory: rank(c.memory), Taken: c.taken, Stray: c.stray, StrayN: c.strayN, Margin: c.margin,
+			Fit: [5]float64{c.fit.n, c.fit.x, c.fit.y, c.fit.xx, c.fit.xy}, Price: c.price, Wait: c.wait})
+	}
+	for _, e := range g.engines {
+		l.Engines = append(l.Engines, LearnedEngine{e.ID, e.Started, e.slow, e.faults})
+	}
+	return l
+}
+
+// Recall takes in what another gateway has learned: of classes of the same name always; prices and waits, the fleet's state
+// and single engines' where fresh says that they still hold. It must come before the first Step.
+func (g *Gateway) Recall(l Learned, fresh bool) error {
+	if g.begun || g.now != 0 {
+		return fmt.Errorf("choice: what was learned must be recalled before the first step")
+	}
+	if l.Version != LearnedVersion {
+		return fmt.Errorf("choice: what was learned has version %d, allowed is %d", l.Version, LearnedVersion)
+	}
+	run := func(r Running) average { return average{v: r.V, n: r.N} }
+	rank := func(r Running) quantile { return quantile{r.V, r.N} }
+	for _, k := range l.Classes {
+		for i := range g.classes {
+			c := &g.classes[i]
+			if c.Name != k.Name {
+				continue
+			}
+			c.mean, c.heft, c.asked, c.ratio, c.memory = run(k.Mean), run(k.Heft), rank(k.Asked), rank(k.Ratio), rank(k.Memory)
+			c.taken, c.stray, c.strayN, c.margin = k.Taken, k.Stray, k.StrayN, k.Margin
+			c.fit = fit{k.Fit[0], k.Fit[1], k.Fit[2], k.Fit[3], k.Fit[4]}
+			if fresh {
+				c.price, c.wait = k.Price, k.Wait
+			}
+		}
+	}
+	f := l.Fleet
+	g.stretch, g.meanThreads, g.meanSent, g.meanTook, g.meanCost, g.meanMB = f.Stretch, f.Threads, run(f.Sent), run(f.Took), run(f.Cost), f.MB
+	if !fresh {
+		return nil
+	}
+	g.rate, g.meanRate, g.crowd, g.room, g.meanOpen = f.Rate, f.MeanRate, rank(f.Crowd), f.Room, f.Open
+	g.recalled = map[string]LearnedEngine{}
+	for _, e := range l.Engines {
+		g.recalled[e.ID] = e
+	}
+	return nil
+}
+
+// sameStart is how far two clocks may be apart on one start of an engine.
+const sameStart = Micros(micros)
+
+// recall gives an engine that is met for the first time what was known of it in this life.
+func (g *Gateway) recall(e *engine) {
+	if k, ok := g.recalled[e.ID]; ok {
+		delete(g.recalled, e.ID)
+		if d := k.Started - e.Started; d < sameStart && d > -sameStart {
+			e.slow, e.faults = k.Slow, k.Faults
+		}
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -46,18 +46,19 @@
 	rate, count float64            // requests taken a second; since the last interval
 	askCredit   float64            // probes that own traffic has paid for
 	all         fleet
-	part        float64    // our part of all traffic, as far as known
-	stretch     [2]float64 // mean log stretch of answers where the group was not warm, was warm
-	meanThreads float64    // of a query in flight
-	meanRate    float64    // mean requests taken a second by a gateway
-	meanMB      float64    // mean grant for each thread in flight
-	meanSent    average    // mean threads of a query sent
-	meanTook    average    // mean seconds of an answer
-	meanCost    average    // mean cost of all queries, seconds of work
-	crowd       quantile   // median log stretch of answers, ours or told
-	meanOpen    float64    // own queries in flight, over some seconds
-	slack       float64    // log stretch that the aims of all classes leave
-	room        float64    // threads a core that any engine may hold, everybody's
+	part        float64                  // our part of all traffic, as far as known
+	stretch     [2]float64               // mean log stretch of answers where the group was not warm, was warm
+	meanThreads float64                  // of a query in flight
+	meanRate    float64                  // mean requests taken a second by a gateway
+	meanMB      float64                  // mean grant for each thread in flight
+	meanSent    average                  // mean threads of a query sent
+	meanTook    average                  // mean seconds of an answer
+	meanCost    average                  // mean cost of all queries, seconds of work
+	crowd       quantile                 // median log stretch of answers, ours or told
+	meanOpen    float64                  // own queries in flight, over some seconds
+	slack       float64                  // log stretch that the aims of all classes leave
+	recalled    map[string]LearnedEngine // of an earlier gateway, until their engines are met; looked up only
+	room        float64                  // threads a core that any engine may hold, everybody's
 	roomAt      Micros
 }
 
--- a/config/config.go
+++ b/config/config.go
@@ -195,7 +195,10 @@
 	// Decisions is the file that all decisions are recorded in, for emberreplay; empty: none. It ends at DecisionsMost bytes.
 	Decisions     string `json:"decisions"`
 	DecisionsMost int    `json:"decisions_most_bytes"`
-	Traces        string `json:"traces"` // file that spans are appended to, as JSON; empty: none
+	// Learned is the file that what the module has learned is kept in for the next start, each LearnedEvery; empty: none.
+	Learned      string   `json:"learned"`
+	LearnedEvery Duration `json:"learned_every"`
+	Traces       string   `json:"traces"` // file that spans are appended to, as JSON; empty: none
 }
 
 // Rule gives traits to queries that meet all of its conditions.
@@ -325,6 +328,7 @@
 	or(&f.Log.Level, "info")
 	or(&f.Log.Format, "json")
 	or(&f.Log.DecisionsMost, 1<<30)
+	or(&f.Log.LearnedEvery, Duration(5*time.Second))
 }
 
 // Effective is the configuration with all defaults, as JSON.
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -24,9 +24,11 @@
 	numbers  numbering
 	seed     uint64
 	settings choice.Settings // at the start
-	recorder Recorder        // nil: none
-	actions  int             // of this step
-	at       int             // event of this step that is being played
+	learned  *choice.Learned // that it began with; nil: nothing
+	fresh    bool
+	recorder Recorder // nil: none
+	actions  int      // of this step
+	at       int      // event of this step that is being played
 	events   []choice.Event
 	extra    []choice.Event
 }
@@ -64,7 +66,8 @@
 
 // Recorder is told all that the module is told and decides, in order. It must not block and must copy what it keeps.
 type Recorder interface {
-	Began(now Micros, seed uint64, s choice.Settings)
+	// Began tells what the module was made of; l is what it began with, nil where that is nothing.
+	Began(now Micros, seed uint64, s choice.Settings, l *choice.Learned, fresh bool)
 	Stepped(now Micros, events []choice.Event, actions []choice.Action)
 	Changed(now Micros, s choice.Settings, classes, tenants []int)
 }
@@ -72,7 +75,7 @@
 // Record has a recorder told of everything from now on; call it before the first Step.
 func (c *Core) Record(now Micros, r Recorder) {
 	c.recorder = r
-	r.Began(now, c.seed, c.settings)
+	r.Began(now, c.seed, c.settings, c.learned, c.fresh)
 }
 
 // Held is the number of queries that have no final answer yet.
--- /dev/null
+++ b/dispatch/warm.go
@@ -0,0 +1,93 @@
+package dispatch
+
+import (
+	"errors"
+	"fmt"
+	"time"
+
+	"embershunt/choice"
+)
+
+// Warm is what a dispatcher writes down of what its module has learned, so that it may start warm. Starts of nodes are in
+// wall time, since a clock ends with its process.
+type Warm struct {
+	Format  int            `json:"format"`
+	Build   string         `json:"build"` // of the module that learned it
+	At      time.Time      `json:"at"`
+	Learned choice.Learned `json:"learned"`
+}
+
+// WarmFormat is the form of Warm.
+const WarmFormat = 1
+
+// Ages up to which what was learned is taken in.
+const (
+	// WarmClasses: what queries cost, by class, changes over days; a dispatcher that was away for longer starts cold.
+	WarmClasses = 24 * time.Hour
+	// WarmFleet: prices, waits and the state of nodes hold for seconds; what is older would mislead more than nothing does.
+	WarmFleet = 30 * time.Second
+)
+
+// Carry tells what of it is to be taken in: everything, what was learned of classes alone, or nothing, and why.
+func (w *Warm) Carry(now time.Time, build string) (classes, fleet bool, why string) {
+	age := now.Sub(w.At)
+	switch {
+	case w.Format != WarmFormat:
+		return false, false, fmt.Sprintf("format %d, allowed is %d", w.Format, WarmFormat)
+	case w.Learned.Version != choice.LearnedVersion:
+		return false, false, fmt.Sprintf("version %d of what was learned, allowed is %d", w.Learned.Version, choice.LearnedVersion)
+	case w.Build != build:
+		return false, false, fmt.Sprintf("of build %q, this is %q", w.Build, build)
+	case age < -time.Minute:
+		return false, false, "it is from the future: a clock was wrong"
+	case age > WarmClasses:
+		return false, false, fmt.Sprintf("%v old, allowed are %v", age.Round(time.Second), WarmClasses)
+	case age > WarmFleet:
+		return true, false, fmt.Sprintf("%v old: classes alone", age.Round(time.Second))
+	}
+	return true, true, fmt.Sprintf("%v old: all of it", age.Round(time.Millisecond))
+}
+
+// learner is a module that can tell and take what it has learned.
+type learner interface {
+	Learned() choice.Learned
+	Recall(l choice.Learned, fresh bool) error
+}
+
+var errNoLearner = errors.New("dispatch: this module keeps nothing of what it learns")
+
+// Learned is what the module knows now, with starts of nodes in the wall time that belongs to its clock: zero is at wall time
+// epoch.
+func (c *Core) Learned(epoch time.Time) (choice.Learned, error) {
+	m, ok := c.gateway.(learner)
+	if !ok {
+		return choice.Learned{}, errNoLearner
+	}
+	return shifted(m.Learned(), epoch.UnixMicro()), nil
+}
+
+// Recall hands on what was learned before, ahead of the first Step and of Record.
+func (c *Core) Recall(l choice.Learned, fleet bool, epoch time.Time) error {
+	m, ok := c.gateway.(learner)
+	if !ok {
+		return errNoLearner
+	}
+	l = shifted(l, -epoch.UnixMicro())
+	err := m.Recall(l, fleet)
+	if err == nil {
+		c.learned, c.fresh = &l, fleet
+	}
+	return err
+}
+
+func shifted(l choice.Learned, by Micros) choice.Learned {
+	engines := make([]choice.LearnedEngine, len(l.Engines))
+	for i, e := range l.Engines {
+		if e.Started != 0 {
+			e.Started += by
+		}
+		engines[i] = e
+	}
+	l.Engines = engines
+	return l
+}
--- /dev/null
+++ b/dispatch/warm_test.go
@@ -0,0 +1,33 @@
+package dispatch
+
+import (
+	"testing"
+	"time"
+
+	"embershunt/choice"
+)
+
+func TestWhatIsCarriedOver(t *testing.T) {
+	at := time.Unix(1e9, 0)
+	for name, c := range map[string]struct {
+		change         func(*Warm)
+		age            time.Duration
+		classes, fleet bool
+	}{
+		"a moment old":    {nil, 2 * time.Second, true, true},
+		"minutes old":     {nil, 5 * time.Minute, true, false},
+		"days old":        {nil, 48 * time.Hour, false, false},
+		"from the future": {nil, -time.Hour, false, false},
+		"another build":   {func(w *Warm) { w.Build = "x" }, 0, false, false},
+		"another format":  {func(w *Warm) { w.Format = 9 }, 0, false, false},
+		"another version": {func(w *Warm) { w.Learned.Version = 9 }, 0, false, false},
+	} {
+		w := &Warm{Format: WarmFormat, Build: "b", At: at, Learned: choice.Learned{Version: choice.LearnedVersion}}
+		if c.change != nil {
+			c.change(w)
+		}
+		if classes, fleet, why := w.Carry(at.Add(c.age), "b"); classes != c.classes || fleet != c.fleet || why == "" {
+			t.Errorf("%s: classes %v, fleet %v (%s)", name, classes, fleet, why)
+		}
+	}
+}
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -52,6 +52,7 @@
 	metrics  net.Listener
 	socket   net.Listener
 	control  *controller // nil: nothing is streamed
+	warmth   *warmth     // nil: what is learned ends with the process
 	record   *recording  // nil: decisions are not recorded
 }
 
@@ -96,6 +97,7 @@
 	if err != nil {
 		return nil, err
 	}
+	d.warmth = newWarmth(f.Log.Learned, f.Log.LearnedEvery.D(), core, d.clock, d.log)
 	if d.record, err = newRecording(f, core, d.clock, d.registry); err != nil {
 		return nil, err
 	}
@@ -228,6 +230,9 @@
 		return nil
 	})
 	group.Go(func() error { return d.sessions.Run(during) })
+	if d.warmth != nil {
+		group.Go(func() error { return d.warmth.run(during, d.loop) })
+	}
 	if d.natives != nil {
 		natives, end := context.WithCancel(ctx)
 		group.Go(func() error {
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -22,8 +22,7 @@
 	for _, n := range nodes {
 		listed[n.ID] = true
 		event.Rows = append(event.Rows, choice.Engine{ID: n.ID, Zone: n.Hall, Kind: n.Kind, Cell: n.Cell,
-			State: n.State, Weight: n.Weight, Started: f.clockTime(n.Started), Speaks: n.Speaks()})
-		f.place(n)
+			State: n.State, Weight: n.Weight, Started: f.place(n), Speaks: n.Speaks()})
 		f.drains.notice(n.ID, n.State != choice.Healthy)
 	}
 	var idle []*node
@@ -55,12 +54,18 @@
 	f.post.Told(choice.Engines{Failed: true})
 }
 
-// place books a node; f.mu is held.
-func (f *Fleet) place(row nodelist.Node) {
+// place books a node and tells its start by the dispatcher's clock; f.mu is held.
+func (f *Fleet) place(row nodelist.Node) choice.Micros {
 	n := f.nodes[row.ID]
+	at := choice.Micros(0)
+	if n != nil && n.started.Equal(row.Started) {
+		at = n.startedAt
+	} else {
+		at = f.clockTime(row.Started)
+	}
 	if n != nil && n.address == row.Address && n.native == row.Native {
-		n.gone = false
-		return
+		n.gone, n.started, n.startedAt = false, row.Started, at
+		return at
 	}
 	if n != nil { // attempts that are out keep the old connection until they end
 		n.gone = true
@@ -68,7 +73,8 @@
 			n.close()
 		}
 	}
-	f.nodes[row.ID] = &node{id: row.ID, address: row.Address, native: row.Native}
+	f.nodes[row.ID] = &node{id: row.ID, address: row.Address, native: row.Native, started: row.Started, startedAt: at}
+	return at
 }
 
 // clockTime turns a wall time into the dispatcher's clock; 0 where it is unknown or lies before the clock's begin.
--- a/fleet/native_test.go
+++ b/fleet/native_test.go
@@ -164,3 +164,26 @@
 		t.Errorf("code %d, want that the connection broke (%v)", end.Code, end.Err)
 	}
 }
+
+// A node's start is the same by the dispatcher's clock in every list that tells it: another one would be a restart.
+func TestAStartIsReckonedOnce(t *testing.T) {
+	f := New(Options{Clock: dispatch.NewClock()})
+	tp := tape{make(chan dispatch.Event, 100)}
+	f.Bind(tp)
+	defer f.Close()
+	started := time.Now().Add(-time.Minute)
+	seen := map[choice.Micros]bool{}
+	for range 50 {
+		if err := f.SetNodes([]nodelist.Node{{ID: "n", Address: "127.0.0.1:1", Started: started}}); err != nil {
+			t.Fatal(err)
+		}
+		seen[(<-tp.events).(dispatch.Told).Event.(choice.Engines).Rows[0].Started] = true
+	}
+	if len(seen) != 1 {
+		t.Errorf("one start, told as %d", len(seen))
+	}
+	f.SetNodes([]nodelist.Node{{ID: "n", Address: "127.0.0.1:1", Started: started.Add(time.Second)}})
+	if at := (<-tp.events).(dispatch.Told).Event.(choice.Engines).Rows[0].Started; seen[at] {
+		t.Error("another start is told as the old one")
+	}
+}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -11,6 +11,7 @@
 	"google.golang.org/grpc/connectivity"
 	"google.golang.org/grpc/credentials/insecure"
 
+	"embershunt/choice"
 	"embershunt/internal/flightwire"
 )
 
@@ -18,8 +19,10 @@
 type node struct {
 	id, address string
 	native      string
-	users       int  // calls that hold it; under Fleet.mu
-	gone        bool // left the list, or moved to another address; under Fleet.mu
+	started     time.Time     // by the list
+	startedAt   choice.Micros // the same by the dispatcher's clock, reckoned once: told anew it would look like another start
+	users       int           // calls that hold it; under Fleet.mu
+	gone        bool          // left the list, or moved to another address; under Fleet.mu
 
 	revision atomic.Int64 // newest of the native protocol that it speaks; 0: not known yet
 
--- a/trace/recorder.go
+++ b/trace/recorder.go
@@ -35,6 +35,8 @@
 	settings choice.Settings
 	at       choice.Micros
 	wall     time.Time
+	learned  *choice.Learned
+	fresh    bool
 }
 
 type stepped struct {
@@ -58,8 +60,8 @@
 }
 
 // Began implements dispatch.Recorder.
-func (r *Recorder) Began(now choice.Micros, seed uint64, s choice.Settings) {
-	r.put(began{seed, s, now, time.Now()})
+func (r *Recorder) Began(now choice.Micros, seed uint64, s choice.Settings, l *choice.Learned, fresh bool) {
+	r.put(began{seed, s, now, time.Now(), l, fresh})
 }
 
 // Stepped implements dispatch.Recorder; it keeps copies of the slices.
@@ -137,8 +139,11 @@
 	case began:
 		b, err := json.Marshal(v.settings)
 		*last = v.at
-		return &tracev1.Record{What: &tracev1.Record_Begin{Begin: &tracev1.Begin{Seed: v.seed, Settings: b, Build: r.build, Dispatcher: r.name,
-			UnixUs: v.wall.UnixMicro(), AtUs: v.at}}}, err
+		out := &tracev1.Begin{Seed: v.seed, Settings: b, Build: r.build, Dispatcher: r.name, UnixUs: v.wall.UnixMicro(), AtUs: v.at, Fresh: v.fresh}
+		if err == nil && v.learned != nil {
+			out.Learned, err = json.Marshal(v.learned)
+		}
+		return &tracev1.Record{What: &tracev1.Record_Begin{Begin: out}}, err
 	case changed:
 		b, err := json.Marshal(v.settings)
 		out := &tracev1.Change{AtUs: since(v.at), Settings: b}
--- a/trace/replay.go
+++ b/trace/replay.go
@@ -65,6 +65,19 @@
 			if m, err = make(w.Begin.GetSeed(), s); err != nil {
 				return rep, err
 			}
+			if text := w.Begin.GetLearned(); len(text) > 0 {
+				var l choice.Learned
+				if err := json.Unmarshal(text, &l); err != nil {
+					return rep, fmt.Errorf("what a begin had learned: %w", err)
+				}
+				if r, ok := m.(interface {
+					Recall(choice.Learned, bool) error
+				}); ok {
+					if err := r.Recall(l, w.Begin.GetFresh()); err != nil {
+						return rep, err
+					}
+				}
+			}
 			rep.Begins++
 			now = w.Begin.GetAtUs()
 		case *tracev1.Record_Dropped:
--- a/trace/trace_test.go
+++ b/trace/trace_test.go
@@ -27,7 +27,7 @@
 	}
 	rng := rand.New(rand.NewPCG(seed, 1))
 	now := choice.Micros(1e8)
-	r.Began(now, seed, s)
+	r.Began(now, seed, s, nil, false)
 	step := func(events ...choice.Event) []choice.Action {
 		acts := g.Step(now, events)
 		r.Stepped(now, events, acts)
