--- a/dispatcher/bench_test.go
+++ b/dispatcher/bench_test.go
@@ -112,44 +112,46 @@
 // throughput as a share of the proxy's and of the direct way's, and the median time of one query alone.
 func BenchmarkSmall(b *testing.B) {
 	p := paths(b)
+	throughput(b, 8, func(name string, _ int) { runQuery(b, p[name], small) })
+}
+
+// throughput runs batches of 8 queries of each worker on each path in turn, and reports the dispatcher's as a share of the
+// proxy's and of the direct way's.
+func throughput(b *testing.B, workers int, query func(path string, worker int)) {
 	took := map[string]time.Duration{}
-	batch := func(name string) {
-		var wg sync.WaitGroup
-		begin := time.Now()
-		for range 8 {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				for range 8 {
-					runQuery(b, p[name], small)
-				}
-			}()
+	round := func() {
+		for _, name := range []string{"direct", "proxy", "dispatcher"} {
+			var wg sync.WaitGroup
+			begin := time.Now()
+			for w := range workers {
+				wg.Add(1)
+				go func() {
+					defer wg.Done()
+					for range 8 {
+						query(name, w)
+					}
+				}()
+			}
+			wg.Wait()
+			took[name] += time.Since(begin)
 		}
-		wg.Wait()
-		took[name] += time.Since(begin)
-	}
-	for name := range p {
-		batch(name)
 	}
+	round() // connections come up
 	clear(took)
 	for b.Loop() {
-		for _, name := range []string{"direct", "proxy", "dispatcher"} {
-			batch(name)
-		}
+		round()
 	}
 	b.ReportMetric(float64(took["proxy"])/float64(took["dispatcher"]), "of-proxy")
 	b.ReportMetric(float64(took["direct"])/float64(took["dispatcher"]), "of-direct")
 }
 
-// BenchmarkSmallAlone compares the time of one small query at a time, path by path in turn.
-func BenchmarkSmallAlone(b *testing.B) {
-	p := paths(b)
+// alone reports the median time of one query at a time, path by path in turn.
+func alone(b *testing.B, query func(path string)) {
 	times := map[string][]time.Duration{}
-	b.ReportAllocs()
 	for b.Loop() {
 		for _, name := range []string{"direct", "proxy", "dispatcher"} {
 			begin := time.Now()
-			runQuery(b, p[name], small)
+			query(name)
 			times[name] = append(times[name], time.Since(begin))
 		}
 	}
@@ -162,6 +164,13 @@
 	b.ReportMetric(median("dispatcher")-median("direct"), "us-over-direct")
 }
 
+// BenchmarkSmallAlone compares the time of one small query at a time, path by path in turn.
+func BenchmarkSmallAlone(b *testing.B) {
+	p := paths(b)
+	b.ReportAllocs()
+	alone(b, func(name string) { runQuery(b, p[name], small) })
+}
+
 // BenchmarkLarge compares answers of 64 MB.
 func BenchmarkLarge(b *testing.B) {
 	p := paths(b)
--- a/dispatcher/nativebench_test.go
+++ b/dispatcher/nativebench_test.go
@@ -4,8 +4,6 @@
 	"context"
 	"io"
 	"net"
-	"slices"
-	"sync"
 	"testing"
 	"time"
 
@@ -78,53 +76,13 @@
 // BenchmarkNativeSmall compares small queries over the native protocol, 8 at a time, as BenchmarkSmall does.
 func BenchmarkNativeSmall(b *testing.B) {
 	p := nativePaths(b, ch.CompressionDisabled)
-	took := map[string]time.Duration{}
-	batch := func(name string) {
-		var wg sync.WaitGroup
-		begin := time.Now()
-		for _, c := range p[name] {
-			wg.Add(1)
-			go func() {
-				defer wg.Done()
-				for range 8 {
-					runNative(b, c, small, false)
-				}
-			}()
-		}
-		wg.Wait()
-		took[name] += time.Since(begin)
-	}
-	for name := range p {
-		batch(name)
-	}
-	clear(took)
-	for b.Loop() {
-		for _, name := range []string{"direct", "proxy", "dispatcher"} {
-			batch(name)
-		}
-	}
-	b.ReportMetric(float64(took["proxy"])/float64(took["dispatcher"]), "of-proxy")
-	b.ReportMetric(float64(took["direct"])/float64(took["dispatcher"]), "of-direct")
+	throughput(b, 8, func(name string, w int) { runNative(b, p[name][w], small, false) })
 }
 
 // BenchmarkNativeAlone compares the time of one small query at a time.
 func BenchmarkNativeAlone(b *testing.B) {
 	p := nativePaths(b, ch.CompressionDisabled)
-	times := map[string][]time.Duration{}
-	for b.Loop() {
-		for _, name := range []string{"direct", "proxy", "dispatcher"} {
-			begin := time.Now()
-			runNative(b, p[name][0], small, false)
-			times[name] = append(times[name], time.Since(begin))
-		}
-	}
-	median := func(name string) float64 {
-		slices.Sort(times[name])
-		return float64(times[name][len(times[name])/2].Microseconds())
-	}
-	b.ReportMetric(median("direct"), "us-direct")
-	b.ReportMetric(median("dispatcher")-median("proxy"), "us-over-proxy")
-	b.ReportMetric(median("dispatcher")-median("direct"), "us-over-direct")
+	alone(b, func(name string) { runNative(b, p[name][0], small, false) })
 }
 
 // BenchmarkNativeLarge compares answers of 64 MB, plain and compressed.
--- a/dispatcher/store_test.go
+++ b/dispatcher/store_test.go
@@ -13,17 +13,23 @@
 	"embershunt/standin"
 )
 
-// The store fails under a running dispatcher: the version is refused with the reason, the one before stays in force, and
-// queries go on.
-func TestAStoreThatFailsWhileRunning(t *testing.T) {
-	c := standin.NewControl("nodes")
+// storing is a dispatcher of one node that keeps the sets it takes in a file.
+func storing(t *testing.T) (c *standin.Control, r *rig, file string) {
+	c = standin.NewControl("nodes")
 	if err := c.Start(); err != nil {
 		t.Fatal(err)
 	}
-	defer c.Stop()
-	file := filepath.Join(t.TempDir(), "versions.db")
-	r := controlled(t, c, 1, `, "store": "`+file+`"`)
+	t.Cleanup(c.Stop)
+	file = filepath.Join(t.TempDir(), "versions.db")
+	r = controlled(t, c, 1, `, "store": "`+file+`"`)
 	c.Set(listed(r), "")
+	return c, r, file
+}
+
+// The store fails under a running dispatcher: the version is refused with the reason, the one before stays in force, and
+// queries go on.
+func TestAStoreThatFailsWhileRunning(t *testing.T) {
+	c, r, _ := storing(t)
 	c.Put(stream.SettingsName, settings(t, 1, nil)...)
 	r.until("set 1 in force", func(s control.Status) bool { return s.Number == 1 })
 	r.d.BreakStore()
@@ -44,14 +50,7 @@
 
 // A store that was damaged on the disk is told at the start, and nothing is made of it.
 func TestADamagedStoreFile(t *testing.T) {
-	c := standin.NewControl("nodes")
-	if err := c.Start(); err != nil {
-		t.Fatal(err)
-	}
-	defer c.Stop()
-	file := filepath.Join(t.TempDir(), "versions.db")
-	r := controlled(t, c, 1, `, "store": "`+file+`"`)
-	c.Set(listed(r), "")
+	c, r, file := storing(t)
 	for n := uint64(1); n <= 2; n++ {
 		c.Put(stream.SettingsName, settings(t, n, nil)...)
 		r.until("a set in force", func(s control.Status) bool { return s.Number == n })
--- a/front/flightsql/action.go
+++ b/front/flightsql/action.go
@@ -41,11 +41,7 @@
 }
 
 func (f *Front) doAction(stream grpc.ServerStream) error {
-	c, err := f.caller(stream)
-	if err != nil {
-		return err
-	}
-	request, err := receive(stream)
+	c, request, err := f.opened(stream)
 	if err != nil {
 		return err
 	}
--- a/front/flightsql/front.go
+++ b/front/flightsql/front.go
@@ -105,11 +105,7 @@
 // unary makes a stream handler of one request and one answer.
 func unary(run func(*Front, *caller, []byte) ([]byte, error)) func(*Front, grpc.ServerStream) error {
 	return func(f *Front, s grpc.ServerStream) error {
-		c, err := f.caller(s)
-		if err != nil {
-			return err
-		}
-		request, err := receive(s)
+		c, request, err := f.opened(s)
 		if err != nil {
 			return err
 		}
@@ -121,6 +117,16 @@
 	}
 }
 
+// opened is who makes a call, and its first message.
+func (f *Front) opened(s grpc.ServerStream) (*caller, []byte, error) {
+	c, err := f.caller(s)
+	if err != nil {
+		return nil, nil, err
+	}
+	request, err := receive(s)
+	return c, request, err
+}
+
 // receive takes one message, copied out of its buffers.
 func receive(s grpc.ServerStream) ([]byte, error) {
 	var m flightwire.Frame
--- a/front/flightsql/statement.go
+++ b/front/flightsql/statement.go
@@ -151,11 +151,7 @@
 
 // doGet runs a query and streams its answer.
 func (f *Front) doGet(stream grpc.ServerStream) error {
-	c, err := f.caller(stream)
-	if err != nil {
-		return err
-	}
-	request, err := receive(stream)
+	c, request, err := f.opened(stream)
 	if err != nil {
 		return err
 	}
@@ -203,11 +199,7 @@
 
 // doPut runs an update, or binds the parameters of a prepared query.
 func (f *Front) doPut(stream grpc.ServerStream) error {
-	c, err := f.caller(stream)
-	if err != nil {
-		return err
-	}
-	first, err := receive(stream)
+	c, first, err := f.opened(stream)
 	if err != nil {
 		return err
 	}
