--- a/cmd/emberdispatch/main.go
+++ b/cmd/emberdispatch/main.go
@@ -22,16 +22,20 @@
 )
 
 var cli struct {
-	Config string `arg:"" optional:"" type:"existingfile" help:"Configuration file (JSON with comments)."`
-	Demo   bool   `help:"Serve 127.0.0.1:32010 (Flight SQL) and :32011 (ClickHouse native) with three stand-in query nodes in this process; any user and password."`
-	Seed   uint64 `help:"Seed of the decision module's random numbers; 0 draws one."`
+	Config   string `arg:"" optional:"" type:"existingfile" help:"Configuration file (JSON with comments)."`
+	Demo     bool   `help:"Serve 127.0.0.1:32010 (Flight SQL) and :32011 (ClickHouse native) with three stand-in query nodes in this process; any user and password."`
+	Platform bool   `help:"Serve the platform's protocol, as NODE_CONFIG says; everything else is off."`
+	Seed     uint64 `help:"Seed of the decision module's random numbers; 0 draws one."`
 }
 
 // Exit codes: 0 drained, 1 failed, 2 wrong usage or configuration, 3 ended by a second signal.
 func main() {
 	kong.Parse(&cli, kong.Name("emberdispatch"), kong.Description("Admits queries and routes them to query nodes."))
-	if cli.Demo == (cli.Config != "") {
-		fmt.Fprintln(os.Stderr, "emberdispatch: give a configuration file or --demo")
+	if cli.Platform && !cli.Demo && cli.Config == "" {
+		os.Exit(runPlatform())
+	}
+	if cli.Platform || cli.Demo == (cli.Config != "") {
+		fmt.Fprintln(os.Stderr, "emberdispatch: give a configuration file, --demo or --platform")
 		os.Exit(2)
 	}
 	os.Exit(run())
--- /dev/null
+++ b/cmd/emberdispatch/platform.go
@@ -0,0 +1,85 @@
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"golang.org/x/sync/errgroup"
+
+	"embershunt/config"
+	"embershunt/dispatch"
+	"embershunt/dispatcher"
+	"embershunt/internal/logs"
+)
+
+// runPlatform serves the platform's protocol; signals that come while it starts are kept until it can heed them.
+func runPlatform() int {
+	signals := make(chan os.Signal, 16)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
+	path, err := dispatcher.PlatformEnvironment()
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberdispatch:", err)
+		return 2
+	}
+	cfg, err := config.LoadPlatform(path)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberdispatch:", err)
+		return 2
+	}
+	dispatcher.Limit(cfg)
+	log, flush, err := logs.New("info", "json")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "emberdispatch: log:", err)
+		return 1
+	}
+	defer flush()
+	d, err := dispatcher.NewPlatform(cfg, log)
+	if err != nil {
+		log.Error("cannot start", "error", err)
+		return 1
+	}
+	log.Info("serving", "address", d.Address(), "cores", cfg.Cores, "memory_mb", cfg.MemoryMB, "sockets", cfg.Sockets)
+	ctx, cancel := context.WithCancel(context.Background())
+	var group errgroup.Group
+	group.Go(func() error { heed(ctx, signals, d, path, log); return nil })
+	err = d.Run(ctx)
+	cancel()
+	group.Wait()
+	var panicked *dispatch.PanicError
+	switch {
+	case errors.As(err, &panicked):
+		log.Error(err.Error(), "stack", string(panicked.Stack))
+		return 1
+	case err != nil:
+		log.Error("ended", "error", err)
+		return 1
+	}
+	log.Info("drained")
+	return 0
+}
+
+// heed carries out signals until ctx ends: SIGHUP takes the file anew, the others stop the dispatcher.
+func heed(ctx context.Context, signals <-chan os.Signal, d *dispatcher.Platform, path string, log *slog.Logger) {
+	draining := false
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case s := <-signals:
+			switch {
+			case s == syscall.SIGHUP:
+				d.Reload(path)
+			case !draining:
+				draining = true
+				d.Drain()
+			default:
+				log.Info("stopping already", "signal", s.String())
+			}
+		}
+	}
+}
--- /dev/null
+++ b/config/platform.go
@@ -0,0 +1,125 @@
+package config
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"net/netip"
+	"os"
+	"strconv"
+
+	"embershunt/choice"
+	"embershunt/internal/wire"
+	"embershunt/nodelist"
+)
+
+// Platform is what the platform tells a dispatcher.
+type Platform struct {
+	Name       string
+	Listen     string
+	Seed       uint64
+	Cores      float64 // processors, also parts of one
+	MemoryMB   float64
+	Sockets    int // descriptors
+	PeerListen string
+	Peers      []string
+	Resolver   string
+	Known      nodelist.Numbered
+	Names      nodelist.Names
+	Settings   choice.Settings
+	OnSockets  wire.Sockets
+}
+
+// platformFile is the form of the file; keys that it lacks here are skipped.
+type platformFile struct {
+	Name   string `json:"name"`
+	Listen string `json:"listen"`
+	Seed   string `json:"seed"`
+	Limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	} `json:"limits"`
+	PeerListen string          `json:"peer_listen"`
+	Peers      []string        `json:"peers"`
+	Resolver   string          `json:"resolver"`
+	Known      json.RawMessage `json:"known"`
+	Settings   json.RawMessage `json:"settings"`
+}
+
+// LeastSockets is the least number of descriptors a dispatcher can be run with.
+const LeastSockets = 64
+
+// LoadPlatform reads and checks the platform's file as a whole.
+func LoadPlatform(path string) (*Platform, error) {
+	text, err := os.ReadFile(path)
+	if err != nil {
+		return nil, err
+	}
+	p, err := ParsePlatform(text)
+	if err != nil {
+		return nil, fmt.Errorf("%s: %w", path, err)
+	}
+	return p, nil
+}
+
+// ParsePlatform checks the platform's file as a whole. An error names the place, what was found and what is allowed.
+func ParsePlatform(text []byte) (*Platform, error) {
+	var f platformFile
+	if err := json.Unmarshal(text, &f); err != nil {
+		var syntax *json.SyntaxError
+		if errors.As(err, &syntax) {
+			return nil, fmt.Errorf("byte %d: %w", syntax.Offset, err)
+		}
+		return nil, err
+	}
+	p := &Platform{Name: f.Name, Listen: f.Listen, Cores: f.Limits.Cores, MemoryMB: f.Limits.MemoryMB, Sockets: f.Limits.Sockets,
+		PeerListen: f.PeerListen, Peers: f.Peers, Resolver: f.Resolver}
+	address := func(place, value string) error {
+		if _, err := netip.ParseAddrPort(value); err != nil {
+			return fmt.Errorf("%s: found %q; allowed: ADDRESS:PORT", place, value)
+		}
+		return nil
+	}
+	var err error
+	if p.Seed, err = strconv.ParseUint(f.Seed, 16, 64); err != nil {
+		return nil, fmt.Errorf("seed: found %q; allowed: up to 16 hex digits", f.Seed)
+	}
+	if err := errors.Join(address("listen", f.Listen), address("resolver", f.Resolver)); err != nil {
+		return nil, err
+	}
+	switch {
+	case !(p.Cores > 0):
+		return nil, fmt.Errorf("limits.cores: found %v; allowed: above 0", p.Cores)
+	case !(p.MemoryMB > 0):
+		return nil, fmt.Errorf("limits.memory_mb: found %v; allowed: above 0", p.MemoryMB)
+	case p.Sockets < LeastSockets:
+		return nil, fmt.Errorf("limits.sockets: found %d; allowed: %d and more", p.Sockets, LeastSockets)
+	}
+	s, sockets, err := wire.Settings(f.Settings)
+	if err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	p.Settings, p.OnSockets = *s, sockets
+	p.Names = nodelist.Names{Halls: sockets.Zones, Kinds: sockets.Models}
+	if _, err := choice.New(p.Seed, *s); err != nil {
+		return nil, fmt.Errorf("settings: %w", err)
+	}
+	if s.CanTell {
+		if err := address("peer_listen", f.PeerListen); err != nil {
+			return nil, err
+		}
+		if len(f.Peers) != s.Peers {
+			return nil, fmt.Errorf("peers: found %d; allowed: %d, as in settings.peersTotal", len(f.Peers), s.Peers)
+		}
+		for i, a := range f.Peers {
+			if err := address(fmt.Sprintf("peers[%d]", i), a); err != nil {
+				return nil, err
+			}
+		}
+	}
+	if p.Known, err = nodelist.ParseKnown(f.Known, p.Names); err != nil {
+		return nil, fmt.Errorf("known: %w", err)
+	}
+	return p, nil
+}
--- /dev/null
+++ b/dispatcher/platform.go
@@ -0,0 +1,182 @@
+package dispatcher
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"math"
+	"net"
+	"os"
+	"runtime"
+	"runtime/debug"
+	"time"
+
+	"golang.org/x/sync/errgroup"
+
+	"embershunt/choice"
+	"embershunt/config"
+	"embershunt/dispatch"
+	"embershunt/fleet"
+	"embershunt/front"
+	"embershunt/front/postgres"
+	"embershunt/nodelist"
+	"embershunt/nodelist/resolver"
+	"embershunt/peers"
+)
+
+// Platform is a dispatcher on the platform's protocol. Every other front, listener, recording and store is off in it. Run it
+// once.
+type Platform struct {
+	cfg      *config.Platform
+	log      *slog.Logger
+	clock    dispatch.Clock
+	loop     *dispatch.Loop
+	fleet    *fleet.Fleet
+	front    *postgres.Front
+	listener net.Listener
+	peers    *peers.Peers // nil: the settings allow none
+	resolver *resolver.Resolver
+	tally    *tally
+	drain    chan struct{}
+}
+
+// Shares of the descriptors: what the process itself holds, and of the rest what connections to nodes may take.
+const (
+	ownSockets = 24
+	nodesPart  = 0.4
+)
+
+// Parts of the memory limit: where the collector works harder, and what is never given back between two collections.
+const (
+	memoryPart = 0.6
+	growth     = 50 // percent that the heap may grow between two collections
+)
+
+// Limit fits the runtime to the processors and the memory that the configuration allows.
+func Limit(cfg *config.Platform) {
+	runtime.GOMAXPROCS(max(1, int(math.Ceil(cfg.Cores))))
+	debug.SetGCPercent(growth)
+	debug.SetMemoryLimit(int64(cfg.MemoryMB * memoryPart * (1 << 20)))
+}
+
+// askParts is how often the name service is asked within the grace of a drain; asking costs it little.
+const (
+	askParts = 5
+	askMost  = 250 * time.Millisecond
+	askLeast = 50 * time.Millisecond
+)
+
+// NewPlatform listens; nothing is served before Run.
+func NewPlatform(cfg *config.Platform, log *slog.Logger) (*Platform, error) {
+	if log == nil {
+		log = slog.New(slog.DiscardHandler)
+	}
+	p := &Platform{cfg: cfg, log: log.With("dispatcher", cfg.Name), clock: dispatch.NewClock(), drain: make(chan struct{}),
+		tally: newTally(log)}
+	span := func(us choice.Micros) time.Duration { return time.Duration(us) * time.Microsecond }
+	nodes := int(float64(cfg.Sockets-ownSockets) * nodesPart)
+	p.fleet = fleet.New(fleet.Options{Log: p.log, Clock: p.clock, ConnectTimeout: span(cfg.OnSockets.ConnectTimeout),
+		LinesMost: nodes, LinesShared: cfg.OnSockets.StreamsPerConn, LinesIdle: span(cfg.OnSockets.ConnIdle) / 2})
+	core, err := dispatch.NewCore(cfg.Seed, cfg.Settings, p.fleet, p.tally)
+	if err != nil {
+		return nil, err
+	}
+	p.loop = dispatch.NewLoop(core, p.clock)
+	p.fleet.Bind(p.loop)
+	desk := front.NewDesk(p.loop, p.clock, front.Tables{})
+	p.front = postgres.New(postgres.Options{Log: p.log, Settings: cfg.Settings, MostSessions: cfg.Sockets - ownSockets - nodes,
+		Idle: span(cfg.OnSockets.ConnIdle)}, desk)
+	every := min(max(span(cfg.Settings.DrainGrace)/askParts, askLeast), askMost)
+	p.resolver = resolver.New(p.log, cfg.Resolver, cfg.Names, cfg.Known.Number, every, p.setNodes)
+	if cfg.Settings.CanTell {
+		if p.peers, err = peers.Listen(cfg.PeerListen, cfg.Peers, cfg.Settings.Me); err != nil {
+			return nil, err
+		}
+		p.fleet.OnTell(p.peers.Tell)
+	}
+	if err := p.fleet.SetNodes(cfg.Known.Nodes); err != nil {
+		return nil, err
+	}
+	if p.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+		return nil, err
+	}
+	return p, nil
+}
+
+// Address is where clients are served.
+func (p *Platform) Address() string { return p.listener.Addr().String() }
+
+func (p *Platform) setNodes(nodes []nodelist.Node) {
+	if err := p.fleet.SetNodes(nodes); err != nil {
+		p.log.Warn("a node list was not taken", "error", err)
+	}
+}
+
+// Reload takes the file anew, as a whole or not at all: the name service may have moved. What else it holds is for the next
+// start.
+func (p *Platform) Reload(path string) {
+	cfg, err := config.LoadPlatform(path)
+	if err != nil {
+		p.log.Error("the new configuration is not taken; the old one stays", "error", err)
+		return
+	}
+	p.log.Info("configuration taken", "resolver", cfg.Resolver)
+	p.resolver.Move(cfg.Resolver)
+}
+
+// takesOn is how long after an order to stop clients still come, as the platform says: they are served.
+const takesOn = 700 * time.Millisecond
+
+// Drain has the dispatcher stop: it takes queries for a moment more, refuses what comes later, and ends when all that it has
+// taken has its answer. It must be called once at most.
+func (p *Platform) Drain() { close(p.drain) }
+
+// Run serves until the dispatcher has drained (nil), ctx ends, or something fails.
+func (p *Platform) Run(ctx context.Context) error {
+	group, ctx := errgroup.WithContext(ctx)
+	during, over := context.WithCancel(context.WithoutCancel(ctx)) // ends with the loop, whatever ends that
+	group.Go(func() error {
+		defer over()
+		return p.loop.Run(ctx)
+	})
+	group.Go(func() error { return p.front.Serve(during, p.listener) })
+	p.fleet.Go(p.resolver.Run)
+	if p.peers != nil {
+		group.Go(func() error { return p.peers.Run(during, toLoop{p.loop}) })
+	}
+	group.Go(func() error { p.tally.run(during, p); return nil })
+	group.Go(func() error {
+		select {
+		case <-during.Done():
+			return nil
+		case <-p.drain:
+		}
+		p.log.Info("draining: queries are taken for a moment more, then refused", "moment", takesOn)
+		t := time.NewTimer(takesOn)
+		defer t.Stop()
+		select {
+		case <-during.Done():
+		case <-t.C:
+			p.loop.Drain()
+		}
+		return nil
+	})
+	group.Go(func() error {
+		<-during.Done()
+		return p.fleet.Close()
+	})
+	return group.Wait()
+}
+
+// toLoop passes on what needs no ledger.
+type toLoop struct{ *dispatch.Loop }
+
+func (l toLoop) Told(ev choice.Event) { l.Post(dispatch.Told{Event: ev}) }
+
+// PlatformEnvironment reads what the platform tells by the environment: the place of its file.
+func PlatformEnvironment() (path string, err error) {
+	if path = os.Getenv("NODE_CONFIG"); path == "" {
+		return "", fmt.Errorf("NODE_CONFIG: found nothing; allowed: the path of the platform's file")
+	}
+	return path, nil
+}
--- /dev/null
+++ b/dispatcher/tally.go
@@ -0,0 +1,101 @@
+package dispatcher
+
+import (
+	"context"
+	"log/slog"
+	"sync/atomic"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/dispatch"
+)
+
+// tally counts what the loop does where no metrics are served: nothing in it grows with ids, connections or nodes.
+type tally struct {
+	log     *slog.Logger
+	taken   atomic.Int64
+	finals  [dispatch.Failed + 1]atomic.Int64
+	codes   [choice.Moot + 1]atomic.Int64
+	sent    atomic.Int64
+	further atomic.Int64
+	faults  atomic.Int64
+	held    atomic.Int64
+}
+
+func newTally(log *slog.Logger) *tally { return &tally{log: log} }
+
+// Taken implements dispatch.Observer.
+func (t *tally) Taken(*dispatch.Query) { t.taken.Add(1) }
+
+// Answered implements dispatch.Observer.
+func (t *tally) Answered(_ *dispatch.Query, v dispatch.Verdict, _ dispatch.Micros) {
+	t.finals[v.Final].Add(1)
+}
+
+// Sent implements dispatch.Observer.
+func (t *tally) Sent(a dispatch.Attempt) {
+	if t.sent.Add(1); a.N > 0 {
+		t.further.Add(1)
+	}
+}
+
+// Ended implements dispatch.Observer.
+func (t *tally) Ended(_ *dispatch.Query, node string, ev dispatch.Ended) {
+	t.codes[ev.Code].Add(1)
+	if ev.Err != nil {
+		t.log.Debug("attempt ended", "query", ev.ID, "attempt", ev.N, "node", node, "code", codeNames[ev.Code], "error", ev.Err)
+	}
+}
+
+// Fault implements dispatch.Observer.
+func (t *tally) Fault(f dispatch.Fault) {
+	t.faults.Add(1)
+	t.log.Error("fault", "kind", f.Kind, "query", f.ID, "history", f.History)
+}
+
+// Changed implements dispatch.Observer.
+func (t *tally) Changed(uint64, choice.Settings) {}
+
+// Paused implements dispatch.Observer.
+func (t *tally) Paused(dispatch.Micros) {}
+
+// Note implements dispatch.Observer.
+func (t *tally) Note(text string) { t.log.Info(text, "from", "module") }
+
+// Stepped implements dispatch.Observer.
+func (t *tally) Stepped(_, _, held int) { t.held.Store(int64(held)) }
+
+// tallyEvery is how often the figures are logged.
+const tallyEvery = 10 * time.Second
+
+// run logs the figures now and then, and at the end.
+func (t *tally) run(ctx context.Context, p *Platform) {
+	tick := time.NewTicker(tallyEvery)
+	defer tick.Stop()
+	for {
+		done := false
+		select {
+		case <-ctx.Done():
+			done = true
+		case <-tick.C:
+		}
+		open, away, unreadable := p.front.Counts()
+		args := []any{"taken", t.taken.Load(), "served", t.finals[dispatch.Served].Load(), "refused", t.finals[dispatch.Refused].Load(),
+			"failed", t.finals[dispatch.Failed].Load(), "held", t.held.Load(), "sent", t.sent.Load(), "further", t.further.Load(),
+			"faults", t.faults.Load(), "sessions", open, "turned_away", away, "unreadable", unreadable,
+			"node_connections", p.fleet.LinesOpen(), "list_failures", p.resolver.Failures()}
+		for code := range t.codes {
+			args = append(args, "ended_"+codeNames[choice.Code(code)], t.codes[code].Load())
+		}
+		if p.peers != nil {
+			sent, heard, dropped := p.peers.Counts()
+			args = append(args, "told", sent, "heard", heard, "peer_dropped", dropped)
+		}
+		t.log.Info("figures", args...)
+		if done {
+			return
+		}
+	}
+}
+
+var _ dispatch.Observer = (*tally)(nil)
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -10,6 +10,7 @@
 	"embershunt/choice"
 	"embershunt/dispatch"
 	"embershunt/internal/flightwire"
+	"embershunt/internal/lineproto"
 	"embershunt/internal/native"
 	"embershunt/session"
 )
@@ -38,6 +39,8 @@
 	unsent bool // nothing that could run has been written yet
 	workUs int64
 	needMB float64
+
+	carrier carrier
 }
 
 // carrier makes an attempt in one protocol.
@@ -58,6 +61,8 @@
 		return &flightAttempt{attempt: t, call: call}
 	case *native.Call:
 		return &nativeAttempt{attempt: t, call: call}
+	case *lineproto.Request:
+		return &linesAttempt{attempt: t, call: call, signal: make(chan struct{}, 1)}
 	}
 	panic(fmt.Sprintf("fleet: work of an unknown kind %T", t.a.Query.Work))
 }
@@ -69,11 +74,12 @@
 	t := &attempt{f: f, a: a, begun: time.Now(), cancel: cancel, open: make(chan struct{})}
 	wait := time.Duration(a.Until-f.clock.Now()) * time.Microsecond
 	t.timer = time.AfterFunc(wait, func() { cancel(errTimedOut) })
+	t.carrier = t.carrierOf()
 	f.mu.Lock()
 	f.attempts[a.Query.ID] = append(f.attempts[a.Query.ID], t)
 	f.mu.Unlock()
 	f.group.Go(func() error {
-		c := t.carrierOf()
+		c := t.carrier
 		ev := t.run(ctx, c)
 		t.timer.Stop()
 		cancel(nil)
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -27,7 +27,10 @@
 	Dial           []grpc.DialOption // credentials; default: plain text
 	NativeUser     string            // for the native protocol
 	NativePassword string
-	Headers        []string // key and value in turn, sent with every call
+	Headers        []string      // key and value in turn, sent with every call
+	LinesMost      int           // connections held to nodes that speak lines, all together; default 256
+	LinesShared    int           // attempts that share one of them where there are no more; default 100
+	LinesIdle      time.Duration // one without an attempt is closed after this; default 10 s
 }
 
 // Poster takes what the fleet has seen; *dispatch.Loop is one.
@@ -47,6 +50,7 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	onNodes func([]nodelist.Node) // told of each list that comes into force; nil: nobody
+	tell    func(int, []byte)     // carries messages to other dispatchers; nil: nothing does
 	refetch func()                // asks the list's source again; nil: there is nothing to ask
 
 	mu       sync.Mutex
@@ -56,6 +60,7 @@
 	sessions map[string]*sessionConn
 
 	listFailures atomic.Int64
+	linesOpen    atomic.Int64 // connections to nodes that speak lines
 	drains       drains
 }
 
@@ -69,6 +74,15 @@
 	if o.ProbeTimeout == 0 {
 		o.ProbeTimeout = 500 * time.Millisecond
 	}
+	if o.LinesMost == 0 {
+		o.LinesMost = 256
+	}
+	if o.LinesShared == 0 {
+		o.LinesShared = 100
+	}
+	if o.LinesIdle == 0 {
+		o.LinesIdle = 10 * time.Second
+	}
 	if o.MaxFrame == 0 {
 		o.MaxFrame = 16 << 20
 	}
@@ -104,9 +118,16 @@
 	}
 }
 
-// Tell implements dispatch.Fleet. Messages between dispatchers have no authenticated way yet: they stay off, and the
-// module is told so (CanTell).
-func (f *Fleet) Tell(int, []byte) {}
+// OnTell sets what carries messages to other dispatchers; it must not block. Without one they stay off, and the module is
+// told so (CanTell).
+func (f *Fleet) OnTell(tell func(peer int, data []byte)) { f.tell = tell }
+
+// Tell implements dispatch.Fleet.
+func (f *Fleet) Tell(peer int, data []byte) {
+	if f.tell != nil {
+		f.tell(peer, data)
+	}
+}
 
 // LastSendAfterDrain is the longest time from a drain notice to a send to that node after it; 0 where none was sent.
 // The module alone keeps nodes that drain free of new work: this only measures it.
@@ -135,13 +156,14 @@
 	return err
 }
 
-// spawn runs a goroutine for callers that may come while the fleet closes; nothing is run for them then.
-func (f *Fleet) spawn(run func()) {
+// spawn runs a goroutine for callers that may come while the fleet closes; nothing is run for them then, and false returned.
+func (f *Fleet) spawn(run func()) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	if !f.closed {
 		f.group.Go(func() error { run(); return nil })
 	}
+	return !f.closed
 }
 
 // use takes a node for one call; nil where it is not known. Every use is ended by release.
--- a/fleet/flight.go
+++ b/fleet/flight.go
@@ -65,6 +65,10 @@
 	f.mu.Lock()
 	var nodes []string
 	for _, t := range f.attempts[id] {
+		if l, ok := t.carrier.(*linesAttempt); ok {
+			f.group.Go(func() error { l.rank(priority); return nil })
+			continue
+		}
 		nodes = append(nodes, t.a.Node)
 	}
 	f.mu.Unlock()
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -63,7 +63,7 @@
 	} else {
 		at = f.clockTime(row.Started)
 	}
-	if n != nil && n.address == row.Address && n.native == row.Native {
+	if n != nil && n.address == row.Address && n.native == row.Native && n.lines.address == row.Lines {
 		n.gone, n.started, n.startedAt = false, row.Started, at
 		return at
 	}
@@ -73,7 +73,8 @@
 			n.close()
 		}
 	}
-	f.nodes[row.ID] = &node{id: row.ID, address: row.Address, native: row.Native, started: row.Started, startedAt: at}
+	f.nodes[row.ID] = &node{id: row.ID, address: row.Address, native: row.Native, started: row.Started, startedAt: at,
+		lines: linesPool{address: row.Lines}}
 	return at
 }
 
--- a/fleet/load.go
+++ b/fleet/load.go
@@ -63,6 +63,9 @@
 	defer f.release(n)
 	ctx, cancel := context.WithTimeout(f.ctx, f.opt.ProbeTimeout)
 	defer cancel()
+	if n.lines.address != "" {
+		return n.linesProbe(ctx, f), nil
+	}
 	if n.address == "" {
 		return n.nativeProbe(ctx, &f.opt), nil
 	}
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -19,6 +19,7 @@
 type node struct {
 	id, address string
 	native      string
+	lines       linesPool
 	started     time.Time     // by the list
 	startedAt   choice.Micros // the same by the dispatcher's clock, reckoned once: told anew it would look like another start
 	users       int           // calls that hold it; under Fleet.mu
@@ -108,6 +109,7 @@
 		c.conn.Close()
 	}
 	n.idle = nil
+	n.lines.close()
 	if n.conn != nil {
 		n.conn.Close()
 	}
--- a/front/front.go
+++ b/front/front.go
@@ -66,11 +66,12 @@
 // Call is one query as a front makes it.
 type Call struct {
 	Facts  classify.Facts
-	Speaks uint8         // protocol, as a bit of nodelist.Speaks
-	Left   time.Duration // until its deadline; 0: the class's
-	Work   any           // for the fleet
-	Only   string        // the node that holds its session's state; "": none
-	MB     float64       // memory hint of the protocol, where rules and hints give none
+	Traits *classify.Traits // what the protocol itself tells; nil: rules and hints have to
+	Speaks uint8            // protocol, as a bit of nodelist.Speaks
+	Left   time.Duration    // until its deadline; 0: the class's
+	Work   any              // for the fleet
+	Only   string           // the node that holds its session's state; "": none
+	MB     float64          // memory hint of the protocol, where rules and hints give none
 	Taken  func(id string)
 }
 
@@ -115,13 +116,15 @@
 func (a *Asked) Leave() { a.desk.Leave(a.id) }
 
 // Begin hands a query over. The error is classify's: hints that cannot be used.
-func (d *Desk) Begin(c Call) (*Asked, error) {
+func (d *Desk) Begin(c Call) (a *Asked, err error) {
 	tables := d.Tables()
-	traits, err := tables.Classes.Classify(c.Facts)
-	if err != nil {
+	var traits classify.Traits
+	if c.Traits != nil {
+		traits = *c.Traits
+	} else if traits, err = tables.Classes.Classify(c.Facts); err != nil {
 		return nil, err
 	}
-	if !traits.Hinted && traits.Rule == "" {
+	if c.Traits == nil && !traits.Hinted && traits.Rule == "" {
 		d.unruled.Add(1)
 	}
 	now, left := d.clock.Now(), c.left(tables, traits)
@@ -129,7 +132,7 @@
 	if traits.MemoryMB == 0 {
 		traits.MemoryMB = c.MB
 	}
-	a := &Asked{Done: make(chan dispatch.Verdict, 1), desk: d, id: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1))}
+	a = &Asked{Done: make(chan dispatch.Verdict, 1), desk: d, id: fmt.Sprintf("%s-%d", d.prefix, d.serial.Add(1))}
 	q := &dispatch.Query{ID: a.id, Version: tables.Version, Class: traits.Class,
 		Tenant: traits.Tenant, Cost: traits.Cost.Microseconds(), MemoryMB: traits.MemoryMB, Tables: traits.Tables,
 		Key: traits.Key, HasKey: traits.HasKey, Retry: traits.Retry, Protocol: c.Speaks, Only: c.Only, Due: now + left.Microseconds(), Work: c.Work, Client: a}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -26,7 +26,9 @@
 		AllowedIn  []int         `json:"allowedIn"`
 		ServedOn   []int         `json:"servedOn"`
 	} `json:"classes"`
-	CountedBy string `json:"countedBy"`
+	Zones     []string `json:"zones"`
+	Models    []string `json:"models"`
+	CountedBy string   `json:"countedBy"`
 	Customers []struct {
 		Name          string  `json:"name"`
 		AllowancePerS float64 `json:"allowancePerS"`
@@ -44,10 +46,14 @@
 		WritesTables  []bool        `json:"writesTables"`
 	} `json:"familyInfo"`
 	Feedback struct {
-		How string `json:"how"`
+		How    string   `json:"how"`
+		Fields []string `json:"fields"`
 	} `json:"feedback"`
 	Limits struct {
 		Cancelling      bool          `json:"cancelling"`
+		ConnIdleUs      choice.Micros `json:"connIdleUs"`
+		ConnectTimeout  choice.Micros `json:"connectTimeoutUs"`
+		StreamsPerConn  int           `json:"streamsPerConn"`
 		MaxRetryAfterUs choice.Micros `json:"maxRetryAfterUs"`
 		MostHeld        int           `json:"mostHeld"`
 		Peers           bool          `json:"peers"`
@@ -82,11 +88,27 @@
 		"trim": choice.ShortTrim, "swap": choice.ShortSwap}
 )
 
-func decodeSettings(raw json.RawMessage) (*choice.Settings, error) {
+// Sockets is what the settings tell those who speak over sockets; the module needs none of it.
+type Sockets struct {
+	Zones, Models  []string // names, in the order of the indexes
+	ReportFields   []string // of a load report
+	ConnectTimeout choice.Micros
+	ConnIdle       choice.Micros // connections idle for so long are closed
+	StreamsPerConn int           // attempts that one connection carries at once
+}
+
+// Settings decodes the settings object, for the module and for sockets.
+func Settings(raw json.RawMessage) (*choice.Settings, Sockets, error) {
 	var e env
 	if err := json.Unmarshal(raw, &e); err != nil {
-		return nil, err
+		return nil, Sockets{}, err
 	}
+	s, err := e.settings()
+	return s, Sockets{e.Zones, e.Models, e.Feedback.Fields, e.Limits.ConnectTimeout, e.Limits.ConnIdleUs,
+		e.Limits.StreamsPerConn}, err
+}
+
+func (e *env) settings() (*choice.Settings, error) {
 	f, l, r := &e.FamilyInfo, &e.Limits, &e.Rules
 	s := &choice.Settings{Zone: e.AZ, Me: e.Me, Peers: e.PeersTotal, OverShareWorth: e.OverShareWorth,
 		CountByWork: e.CountedBy == "work", MaxAttempts: l.SendCap, MaxHeld: l.MostHeld,
--- a/internal/wire/wire.go
+++ b/internal/wire/wire.go
@@ -144,7 +144,7 @@
 	item.Instance = f.DispatcherID
 	switch name {
 	case "enlist":
-		s, err := decodeSettings(f.Env)
+		s, _, err := Settings(f.Env)
 		if err != nil {
 			return item, false, fmt.Errorf("env: %w", err)
 		}
--- a/nodelist/nodelist.go
+++ b/nodelist/nodelist.go
@@ -15,6 +15,7 @@
 	ID      string // its name; stable over restarts
 	Address string // host:port of Flight SQL; empty where it is not spoken
 	Native  string // host:port of the ClickHouse native protocol; likewise
+	Lines   string // host:port of the platform's lines; likewise
 	Hall    int
 	Kind    int
 	Cell    int
@@ -28,6 +29,7 @@
 const (
 	FlightSQL uint8 = 1 << iota
 	ClickHouse
+	Lines
 )
 
 // Speaks are the protocols that a node has an address for.
@@ -38,6 +40,9 @@
 	if n.Native != "" {
 		bits |= ClickHouse
 	}
+	if n.Lines != "" {
+		bits |= Lines
+	}
 	return bits
 }
 
@@ -70,12 +75,14 @@
 			return fmt.Errorf("a node at %q has no name", n.Address)
 		case ids[n.ID]:
 			return fmt.Errorf("node %q is listed twice", n.ID)
-		case n.Address == "" && n.Native == "" && n.State != choice.Gone:
+		case n.Speaks() == 0 && n.State != choice.Gone:
 			return fmt.Errorf("node %q has no address", n.ID)
 		case n.Address != "" && addresses[n.Address] != "":
 			return fmt.Errorf("nodes %q and %q have the same address %s", addresses[n.Address], n.ID, n.Address)
+		case n.Lines != "" && addresses[n.Lines] != "":
+			return fmt.Errorf("nodes %q and %q have the same address %s", addresses[n.Lines], n.ID, n.Lines)
 		}
-		ids[n.ID], addresses[n.Address] = true, n.ID
+		ids[n.ID], addresses[n.Address], addresses[n.Lines] = true, n.ID, n.ID
 	}
 	return nil
 }
--- /dev/null
+++ b/nodelist/platform.go
@@ -0,0 +1,236 @@
+package nodelist
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"math"
+	"net"
+	"net/netip"
+	"strconv"
+	"strings"
+	"time"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"embershunt/choice"
+)
+
+// Service is the name under which the platform's name service lists the query nodes.
+const Service = "_api._tcp.svc.local."
+
+// hostsSuffix ends the name of every node there.
+const hostsSuffix = ".hosts."
+
+// Numbered is a whole list with the number of the last event in it.
+type Numbered struct {
+	Number int64
+	Nodes  []Node
+}
+
+// knownEvent is one event of the list that a dispatcher starts with.
+type knownEvent struct {
+	Pos   int64 `json:"pos"`
+	Hosts struct {
+		All     bool `json:"all"`
+		Targets []struct {
+			UID      string  `json:"uid"`
+			Endpoint string  `json:"endpoint"`
+			Zone     string  `json:"az"`
+			Model    string  `json:"model"`
+			PodGroup int     `json:"pod_group"`
+			State    string  `json:"state"`
+			Capacity float64 `json:"capacity_hint"`
+			BootMs   int64   `json:"boot_ms"`
+		} `json:"targets"`
+	} `json:"hosts"`
+}
+
+var knownStates = map[string]choice.EngineState{"active": choice.Healthy, "leaving": choice.Draining, "left": choice.Gone}
+
+// ParseKnown reads the events that a dispatcher starts with into the list that they come to.
+func ParseKnown(raw json.RawMessage, names Names) (Numbered, error) {
+	var known struct {
+		Pos     int64        `json:"pos"`
+		Entries []knownEvent `json:"entries"`
+	}
+	if err := json.Unmarshal(raw, &known); err != nil {
+		return Numbered{}, err
+	}
+	out := Numbered{Number: known.Pos}
+	at := map[string]int{}
+	for i, ev := range known.Entries {
+		if ev.Hosts.All {
+			out.Nodes = nil
+			clear(at)
+		}
+		for j, t := range ev.Hosts.Targets {
+			n := Node{ID: t.UID, Lines: t.Endpoint, Cell: t.PodGroup, Weight: t.Capacity}
+			place := fmt.Sprintf("entries[%d].hosts.targets[%d]", i, j)
+			var ok bool
+			var err error
+			if n.State, ok = knownStates[t.State]; !ok {
+				return Numbered{}, fmt.Errorf("%s.state: found %q; allowed: active, leaving, left", place, t.State)
+			}
+			if n.Hall, err = names.Hall(t.Zone); err != nil {
+				return Numbered{}, fmt.Errorf("%s.az: %w", place, err)
+			}
+			if n.Kind, err = names.Kind(t.Model); err != nil {
+				return Numbered{}, fmt.Errorf("%s.model: %w", place, err)
+			}
+			if _, err := netip.ParseAddrPort(t.Endpoint); err != nil && n.State != choice.Gone {
+				return Numbered{}, fmt.Errorf("%s.endpoint: %w", place, err)
+			}
+			if t.BootMs > 0 {
+				n.Started = time.UnixMilli(t.BootMs)
+			}
+			if k, known := at[n.ID]; known {
+				out.Nodes[k] = n
+			} else {
+				at[n.ID] = len(out.Nodes)
+				out.Nodes = append(out.Nodes, n)
+			}
+		}
+		out.Number = max(out.Number, ev.Pos)
+	}
+	kept := out.Nodes[:0]
+	for _, n := range out.Nodes {
+		if n.State != choice.Gone {
+			kept = append(kept, n)
+		}
+	}
+	out.Nodes = kept
+	return out, Check(out.Nodes)
+}
+
+// Question is a question for the whole list.
+func Question(id uint16) ([]byte, error) {
+	b := dnsmessage.NewBuilder(make([]byte, 0, 64), dnsmessage.Header{ID: id})
+	if err := b.StartQuestions(); err != nil {
+		return nil, err
+	}
+	name, err := dnsmessage.NewName(Service)
+	if err != nil {
+		return nil, err
+	}
+	if err := b.Question(dnsmessage.Question{Name: name, Type: dnsmessage.TypeSRV, Class: dnsmessage.ClassINET}); err != nil {
+		return nil, err
+	}
+	return b.Finish()
+}
+
+// AnswerMost is the longest answer, in bytes.
+const AnswerMost = 8000
+
+// Errors of answers that are whole but tell nothing.
+var (
+	ErrOtherID = errors.New("nodelist: an answer to no question that is open")
+	errFailure = errors.New("nodelist: the name service reports a failure")
+	errCut     = errors.New("nodelist: the answer is cut short")
+)
+
+// ParseAnswer reads an answer to Question; asked tells whether an id is that of an open one. Whatever is missing in it spoils
+// it as a whole.
+func ParseAnswer(msg []byte, asked func(id uint16) bool, names Names) (Numbered, error) {
+	var m dnsmessage.Message
+	if err := m.Unpack(msg); err != nil {
+		return Numbered{}, err
+	}
+	switch {
+	case !asked(m.ID) || !m.Response:
+		return Numbered{}, ErrOtherID
+	case m.RCode != dnsmessage.RCodeSuccess:
+		return Numbered{}, fmt.Errorf("%w: %v", errFailure, m.RCode)
+	case m.Truncated:
+		return Numbered{}, errCut
+	case len(m.Questions) != 1 || !strings.EqualFold(m.Questions[0].Name.String(), Service) ||
+		m.Questions[0].Type != dnsmessage.TypeSRV || m.Questions[0].Class != dnsmessage.ClassINET:
+		return Numbered{}, errors.New("nodelist: an answer to another question")
+	}
+	out := Numbered{Number: -1}
+	for _, r := range m.Authorities {
+		if soa, ok := r.Body.(*dnsmessage.SOAResource); ok {
+			out.Number = int64(soa.Serial)
+		}
+	}
+	if out.Number < 0 {
+		return Numbered{}, errors.New("nodelist: an answer without a number")
+	}
+	addresses, facts := map[string]netip.Addr{}, map[string][]string{}
+	for _, section := range [][]dnsmessage.Resource{m.Additionals, m.Answers} {
+		for _, r := range section {
+			switch body := r.Body.(type) {
+			case *dnsmessage.AResource:
+				addresses[r.Header.Name.String()] = netip.AddrFrom4(body.A)
+			case *dnsmessage.TXTResource:
+				facts[r.Header.Name.String()] = body.TXT
+			}
+		}
+	}
+	for _, r := range m.Answers {
+		srv, ok := r.Body.(*dnsmessage.SRVResource)
+		if !ok {
+			continue
+		}
+		target := srv.Target.String()
+		address, has := addresses[target]
+		texts, told := facts[target]
+		if !has || !told {
+			return Numbered{}, fmt.Errorf("nodelist: %s without its address or text", target)
+		}
+		n, err := record(srv, target, texts, names)
+		if err != nil {
+			return Numbered{}, fmt.Errorf("nodelist: %s: %w", target, err)
+		}
+		n.Lines = net.JoinHostPort(address.String(), strconv.Itoa(int(srv.Port)))
+		out.Nodes = append(out.Nodes, n)
+	}
+	return out, Check(out.Nodes)
+}
+
+func record(srv *dnsmessage.SRVResource, target string, texts []string, names Names) (n Node, err error) {
+	host, ok := strings.CutSuffix(target, hostsSuffix)
+	id, hall, two := strings.Cut(host, ".")
+	if !ok || !two || id == "" || hall == "" {
+		return n, errors.New("the name is not that of a node")
+	}
+	n = Node{ID: id, Weight: float64(srv.Weight) / 10}
+	if n.Hall, err = names.Hall(hall); err != nil {
+		return n, err
+	}
+	switch srv.Priority {
+	case 0:
+	case 1:
+		n.State = choice.Draining
+	default:
+		return n, fmt.Errorf("priority %d; allowed are 0 and 1", srv.Priority)
+	}
+	seen := 0
+	for _, t := range texts {
+		name, value, _ := strings.Cut(t, "=")
+		switch name {
+		case "kind":
+			n.Kind, err = names.Kind(value)
+			seen |= 1
+		case "cell":
+			n.Cell, err = strconv.Atoi(value)
+			seen |= 2
+		case "started":
+			var ms int64
+			if ms, err = strconv.ParseInt(value, 10, 64); err == nil && (ms < 0 || ms > math.MaxInt64/1000000) {
+				err = fmt.Errorf("started=%d", ms)
+			}
+			if ms > 0 {
+				n.Started = time.UnixMilli(ms)
+			}
+			seen |= 4
+		}
+		if err != nil {
+			return n, err
+		}
+	}
+	if seen != 7 {
+		return n, errors.New("kind, cell or started is missing")
+	}
+	return n, nil
+}
