A network that breaks connections makes no node cold or suspect

Logs of attempts: 329 connections reset under a request and 28 on connecting, over all nodes alike; the module distrusted each node in turn. Ruled out: CPU (0.06 s in the busiest second), descriptors (232 of 384), the node list (no list was lost for a second). Lines at fault: choice.go judge(): two resets within 20 ms, or one refused connection, make an engine cold for its whole ramp; doubt(): two faults in a row make it suspect, however common faults are; fleet/lines.go takeLines(): a connection reset while new counted as a refused one, which proves a dead process. Now an answer or note on what was sent before such a guess takes it back, faults count over the middle of the fleet's, and an attempt whose new connection was reset, with nothing sent, takes another one.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -679,7 +679,10 @@
 	e.heard, e.unanswered, e.lastFault = g.now, 0, fault > 0
 	// It may come back cold, before the list tells. One broken connection alone may be an answer lost.
 	if o.Code == Refused || o.Code == Reset && g.since(e.resetAt) < wakeEvery {
-		e.coldSince = g.now
+		if e.guessed == 0 {
+			e.coldWas = e.coldSince
+		}
+		e.coldSince, e.guessed = g.now, g.now
 	}
 	if o.Code == Reset {
 		e.resetAt = g.now
@@ -688,11 +691,20 @@
 	g.doubt(e)
 }
 
-// doubt turns distrust on and off by the share of faults, ours and peers' word.
+// lives takes word on an attempt: where it was sent before its engine seemed to end, the process never did. It
+// guards against networks that break single connections: each pair of them would make an engine cold for long.
+func (e *engine) lives(a *attempt) {
+	if e.guessed > a.sent {
+		e.coldSince, e.guessed = e.coldWas, 0
+	}
+}
+
+// doubt turns distrust on and off by the share of faults, ours and peers' word, over what is usual in the fleet:
+// faults that all engines have are none of theirs (a bad network), and nothing better is left to send to.
 func (g *Gateway) doubt(e *engine) {
-	if !e.suspect && e.faults > faultHigh {
+	if !e.suspect && e.faults > faultHigh+g.all.faults {
 		g.distrust(e, "faults")
-	} else if e.suspect && e.faults < faultLow {
+	} else if e.suspect && e.faults < faultLow+g.all.faults {
 		e.suspect = false
 		g.note("trust %s again", e.ID)
 	}
@@ -733,6 +745,9 @@
 		return
 	}
 	rates, rows, ok := decode(h.Data, len(g.tenants)+1)
+	if o.Code != Refused && o.Code != Reset {
+		e.lives(a)
+	}
 	if !ok {
 		return
 	}
@@ -815,7 +830,7 @@
 			g.recall(e)
 		} else if r.Started != e.Started { // restarted: nothing learned holds any more
 			e.coldSince, e.suspect, e.warm = max(r.Started, e.coldSince), false, nil
-			e.faults, e.slow = 0, g.crowd.v
+			e.faults, e.slow, e.guessed = 0, g.crowd.v, 0
 		}
 		if r.State == Draining && e.State != Draining {
 			e.drainBy = g.now + g.set.DrainGrace - g.guard()
--- a/choice/state.go
+++ b/choice/state.go
@@ -95,6 +95,7 @@
 	covered        float64 // share of peers whose own attempts we know
 	cores, threads float64 // of healthy engines: cores; all threads there, unheard ones as average
 }
+	faults         float64 // middle of the healthy engines' shares of faults
 
 // tenant is one tenant's traffic: here, and the mean over gateways.
 type tenant struct {
@@ -149,6 +150,8 @@
 	drainBy       Micros          // what has its state there may be sent until then, while it drains
 	cold          []store         // for each class, while cold
 	warm          []int64         // groups read last, newest first
+	guessed       Micros          // when it seemed to have ended, without word of the list; 0: it did not
+	coldWas       Micros          // coldSince before that
 	probeAt       Micros          // last probe
 	asked         bool            // that one has not answered yet
 	loads         map[byte]Micros // groups that loads hold there, by when last seen; looked up only
@@ -584,6 +587,7 @@
 	}
 	if f.busy = g.all.busy; busy > 0 {
 		f.busy, f.heard, f.tells = f.threads/busy, true, true
+	var faults []float64
 	} else { // hearing nothing for long must not keep a gateway from trying
 		f.busy *= keep
 		if !f.tells { // no report ever does: what we have out, over our share, over some time
@@ -593,6 +597,7 @@
 	f.age = age / max(1, float64(len(g.engines)))
 	f.threads = f.busy * f.cores
 	g.all = f
+		faults = append(faults, e.faults)
 }
 
 // rows is what to tell of the engines: what was heard within so many seconds, freshest first.
@@ -610,6 +615,9 @@
 		}
 		rows = append(rows, r)
 	}
+	if slices.Sort(faults); len(faults) > 0 {
+		f.faults = faults[(len(faults)-1)/2]
+	}
 	slices.SortStableFunc(rows, func(a, b row) int { return int(a.age - b.age) })
 	return rows
 }
@@ -742,6 +750,7 @@
 func (g *Gateway) end(q *request) {
 	q.done = true
 	g.unhold(q)
+	a.e.lives(a)
 	for _, a := range q.attempts {
 		g.callOff(a)
 	}
--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -3,10 +3,12 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"net"
 	"strconv"
 	"strings"
 	"sync"
+	"syscall"
 	"time"
 
 	"embershunt/choice"
@@ -311,6 +313,7 @@
 	done   bool
 	err    error      // of a done attempt; nil: the result is whole
 	conn   *linesConn // nil: the request is on none yet
+	notes  int        // progress notes that came
 }
 
 // linesTries bounds the connections tried for one attempt: kept ones may have ended without a word.
@@ -324,6 +327,9 @@
 	t.unsent = true
 	for range linesTries {
 		c, failed := n.takeLines(ctx, t.f, t)
+		if errors.Is(failed, syscall.ECONNRESET) && ctx.Err() == nil { // a new connection broke: the machine is there
+			continue
+		}
 		if failed != nil {
 			return nil, failed
 		}
@@ -370,7 +376,10 @@
 		case <-t.signal:
 		case <-ctx.Done():
 			t.giveUp(ctx, c)
-			return nil, context.Cause(ctx)
+			t.mu.Lock()
+			why := fmt.Errorf("%w, after %d notes and %d of %d pages", context.Cause(ctx), t.notes, t.result.Have(), t.result.Pages())
+			t.mu.Unlock()
+			return nil, why
 		}
 		t.mu.Lock()
 		done, err, pages := t.done, t.err, t.result.Pages()
@@ -446,6 +455,7 @@
 		}
 		return nil
 	case lineproto.News:
+		t.notes++
 		if p, ok := linesNote(a.Field("why"), a.Field("datum")); ok {
 			p.ID, p.Attempt, p.Engine = t.a.Query.ID, t.a.N, t.a.Node
 			t.f.post.Told(p)
