Loads of a group keep to half of the nodes, and a place at a full door has a price

Clients' connections were all in use (341 of 341), so that 297,000 requests were never taken. Lines at fault: choice.go weight(): loads were kept away from engines where their group was held, that is spread over all of them, one after the other, which left lookups of that group nowhere to go; nothing priced a query that stands at the door. Now loads of a group go to half of the engines, found by hash so that all dispatchers agree, one of ours at a time on each; classes that wait keep off them; and when few places are left at the door what earns less there than others would is given up at once, with a time to come back. The limit of held queries follows from the descriptors that clients may use.

--- a/choice/choice.go
+++ b/choice/choice.go
@@ -70,6 +70,9 @@
 	drawFloor    = 0.03 // least share of room in the draw
 	homeZone     = 4.0  // weight of engines in the gateway's own zone
 	heldTables   = 0.1  // weight of an engine where a load holds the group, for classes that wait
+	lanePart     = 0.5  // part of the engines that take the loads of one group
+	doorFree     = 0.7  // part of what may be held that has no price
+	doorAge      = 0.5  // part of its age that a query past its expected end may be thought to stay on
 	grantMargin  = 1.75 // first memory grant over the fitted estimate: it may lie low, and a spill costs more
 	blindMargin  = 2.5  // the same where no notes tell of spills: nothing would correct it
 	engineGrant  = 1.25 // memory that an engine grants by itself, over the estimate (wire page)
@@ -231,7 +234,7 @@
 	}
 	for k := range levels {
 		tau := c.wait[k] + c.service(q.est)
-		cost := c.delayCost()*tau + c.price[k]*scale
+		cost := (c.delayCost()+g.door)*tau + c.price[k]*scale
 		if tau > float64(q.Due-g.now)/micros { // clients that come late or leave early: it would earn nothing
 			cost += q.worth
 		}
@@ -245,7 +248,7 @@
 // passes is the free-core pass.
 func (g *Gateway) passes(q *request, e *engine) bool {
 	tau := q.class.wait[q.level] + q.class.service(q.est)
-	if tau > float64(q.Due-g.now)/micros || q.est > passTimes*q.class.typical() {
+	if tau > float64(q.Due-g.now)/micros || q.est > passTimes*q.class.typical() || q.worth < g.door*tau {
 		return false
 	}
 	return g.ownThreads()+q.class.threads <= g.shareCores() || e != nil && g.util(e) < passUtil
@@ -386,6 +389,9 @@
 		w *= math.Exp(warmSharp * max(0, g.stretch[0]-g.stretch[1]-warmSlack))
 	}
 	if (q.class.Waits || q.class.Loads) && g.loading(e, q.Tables) {
+		w *= heldTables * heldTables
+	}
+	if q.class.Waits && g.lane(q.Tables, e) {
 		w *= heldTables
 	}
 	for _, a := range q.attempts { // another try goes elsewhere if it can
@@ -396,6 +402,51 @@
 	return w
 }
 
+// lane tells whether an engine takes loads of a group, the same at every gateway: those of a group on all engines would
+// leave none for the queries that wait for them, and on one engine they hold up one another.
+func (g *Gateway) lane(tables int64, e *engine) bool {
+	healthy, before := 0, 0
+	for _, o := range g.engines {
+		if o.State == Healthy && !o.suspect {
+			healthy++
+			if o != e && drawOf(tables, o) > drawOf(tables, e) {
+				before++
+			}
+		}
+	}
+	return before < max(1, int(lanePart*float64(healthy)))
+}
+
+// ownLoad tells that a load of ours holds a group on an engine, or stands there for it.
+func (e *engine) ownLoad(tables int64) bool {
+	return slices.ContainsFunc(e.open, func(a *attempt) bool { return a.q.class.Loads && a.q.Tables == tables })
+}
+
+// doorPrice is what a second at the door is worth to others: nothing while few are held, and what those who are served
+// earn a second when as many are held as may be. It guards against queries that stand still and keep others out.
+func (g *Gateway) doorPrice(held int) float64 {
+	full := float64(held)/max(float64(g.set.MaxHeld), 1) - doorFree
+	if g.set.MaxHeld == 0 || full <= 0 || g.meanStay.v <= 0 {
+		return 0
+	}
+	return min(1, full/(1-doorFree)) * g.meanEarned.v / g.meanStay.v
+}
+
+// overstays tells that a query earns less than its place at the door is worth.
+func (g *Gateway) overstays(q *request) bool {
+	stay := g.since(q.taken)
+	left := max(q.class.wait[q.level]+q.class.service(q.est)-stay, stay*doorAge)
+	return q.open == 0 && g.door > 0 && g.earns(q, g.now+Micros(left*micros)) < g.door*left
+}
+
+// earns is what an answer at a time is worth.
+func (g *Gateway) earns(q *request, at Micros) float64 {
+	if at > q.aim {
+		return q.worth * q.class.LateWorth
+	}
+	return q.worth
+}
+
 // allowed keeps placement, drains, the protocol and the groups of keyed requests.
 func (g *Gateway) allowed(q *request, e *engine) bool {
 	c := q.class
@@ -416,6 +467,9 @@
 // where that is less than one query: all that talk hear of the same room, and would fill it.
 func (g *Gateway) hasRoom(q *request, e *engine) bool {
 	room := g.room * e.cores * g.speed(e)
+	if q.class.Loads && (!g.lane(q.Tables, e) || e.ownLoad(q.Tables)) { // the next would stand behind it
+		return false
+	}
 	switch {
 	case q.est > passTimes*q.class.typical(): // it would hold the room for many others
 		room *= longRoom
@@ -579,7 +633,7 @@
 			g.send(q, e)
 		}
 		if q.Only == "" { // a queue behind one engine holds nobody else
-			full[q.Class] = q.held && g.mayStart(q) && !g.asking(q, askWait)
+			full[q.Class] = q.held && g.mayStart(q) && !g.asking(q, askWait) && !q.class.Loads // each group has its line
 		}
 	}
 }
@@ -659,6 +713,8 @@
 		g.stretched(e, clipped, slowStep, slowFirst, reportFresh, crowdStep)
 		g.warmed(a.warm, clipped, meanStep)
 		g.meanTook.add(took, meanStep)
+		g.meanStay.add(g.since(a.q.taken), meanStep)
+		g.meanEarned.add(g.earns(a.q, g.now), meanStep)
 		if a.q.Cost > 0 && work > 0 {
 			c.fit.add(float64(a.q.Cost)/micros, work, fitStep)
 		}
@@ -677,6 +733,9 @@
 		return
 	}
 	e.heard, e.unanswered, e.lastFault = g.now, 0, fault > 0
+	if o.Code != Refused && o.Code != Reset {
+		e.lives(a)
+	}
 	// It may come back cold, before the list tells. One broken connection alone may be an answer lost.
 	if o.Code == Refused || o.Code == Reset && g.since(e.resetAt) < wakeEvery {
 		if e.guessed == 0 {
@@ -745,9 +804,6 @@
 		return
 	}
 	rates, rows, ok := decode(h.Data, len(g.tenants)+1)
-	if o.Code != Refused && o.Code != Reset {
-		e.lives(a)
-	}
 	if !ok {
 		return
 	}
@@ -807,10 +863,8 @@
 // loading tells that a load holds a group on an engine: ours, or by a note or a
 // peer's word of late. It guards against queries that stand still.
 func (g *Gateway) loading(e *engine, tables int64) bool {
-	for _, a := range e.open {
-		if a.q.class.Loads && a.q.Tables == tables {
-			return true
-		}
+	if e.ownLoad(tables) {
+		return true
 	}
 	at := e.loads[groupOf(tables)]
 	return at > 0 && g.since(at) < wordFresh
@@ -861,11 +915,12 @@
 	for _, e := range g.engines {
 		g.silent(e)
 	}
+	g.door = g.doorPrice(g.heldNow())
 	for _, q := range g.live {
 		if q.done || q.streamed {
 			continue
 		}
-		if g.now >= q.Due-g.guard() {
+		if g.now >= q.Due-g.guard() || g.overstays(q) {
 			g.giveUp(q)
 			continue
 		}
--- /dev/null
+++ b/choice/lane_test.go
@@ -0,0 +1,92 @@
+package choice
+
+import "testing"
+
+// loadSettings is testSettings with a class that loads groups of tables, which the light class waits for.
+func loadSettings() Settings {
+	s := testSettings()
+	s.Classes[0].Waits = true
+	s.Classes = append(s.Classes, Class{Name: "load", Worth: 5, LateWorth: 0.6, Aim: 3 * sec, AimStretch: 3, Deadline: 25 * sec,
+		Threads: 2, Effect: Keyed, Window: 15 * sec, Loads: true})
+	return s
+}
+
+// Loads of one group that were spread over all engines held it everywhere, one after the other: lookups of that group stood
+// still to their deadlines, on engines with a tenth of their cores in use.
+func TestLoadsOfAGroupLeaveEnginesToThoseWhoWait(t *testing.T) {
+	const tables = 7
+	b := newBench(t, loadSettings(), 6)
+	most, stood, lookups := 0, 0, 0
+	type out struct {
+		s    Send
+		till Micros
+	}
+	var loads []out
+	for i := range 2000 {
+		b.now += 5000
+		for len(loads) > 0 && loads[0].till <= b.now {
+			s := loads[0].s
+			loads = loads[1:]
+			for _, next := range only[Send](b.step(Outcome{ID: s.ID, Engine: s.Engine, Over: true, Took: 500000})) {
+				loads = append(loads, out{next, b.now + sec/2})
+			}
+		}
+		q := b.request(0)
+		if q.Tables = tables; i%20 == 0 {
+			q = b.request(2)
+			q.Tables = tables
+		}
+		for _, s := range only[Send](b.step(q)) {
+			if i%20 == 0 {
+				loads = append(loads, out{s, b.now + sec/2})
+				continue
+			}
+			lookups++
+			for _, l := range loads {
+				if l.s.Engine == s.Engine {
+					stood++
+				}
+			}
+			b.now += 1000
+			b.step(Outcome{ID: s.ID, Engine: s.Engine, Over: true, Took: 100000})
+		}
+		held := map[string]int{}
+		for _, l := range loads {
+			if held[l.s.Engine]++; held[l.s.Engine] > 1 {
+				t.Fatalf("two loads of one group on %s", l.s.Engine)
+			}
+		}
+		most = max(most, len(held))
+	}
+	if most == 0 || most > 3 {
+		t.Errorf("loads held their group on %d of 6 engines at once", most)
+	}
+	if lookups == 0 || stood*50 > lookups {
+		t.Errorf("%d of %d lookups met a load", stood, lookups)
+	}
+}
+
+// Gateways that share engines agree on the lanes of a group without a word, and groups do not all have the same.
+func TestLanesAreTheSameEverywhere(t *testing.T) {
+	a, b := newBench(t, loadSettings(), 6), newBench(t, loadSettings(), 6)
+	differ := false
+	for tables := range int64(20) {
+		for i, e := range a.g.engines {
+			if a.g.lane(tables, e) != b.g.lane(tables, b.g.engines[i]) {
+				t.Errorf("group %d, %s: two gateways do not agree", tables, e.ID)
+			}
+			differ = differ || a.g.lane(tables, e) != a.g.lane(0, e)
+		}
+	}
+	if !differ {
+		t.Error("all groups have the same lanes")
+	}
+}
+
+// With one engine left there is no choice.
+func TestALoadGoesToTheOnlyEngine(t *testing.T) {
+	b := newBench(t, loadSettings(), 1)
+	if len(only[Send](b.step(b.request(2)))) != 1 {
+		t.Error("not sent")
+	}
+}
--- a/choice/state.go
+++ b/choice/state.go
@@ -52,6 +52,9 @@
 	meanRate    float64                  // mean requests taken a second by a gateway
 	meanMB      float64                  // mean grant for each thread in flight
 	meanSent    average                  // mean threads of a query sent
+	meanStay    average                  // mean seconds from taking a query to its answer
+	meanEarned  average                  // mean worth of those answers
+	door        float64                  // worth of a second at the door, see doorPrice
 	meanTook    average                  // mean seconds of an answer
 	meanCost    average                  // mean cost of all queries, seconds of work
 	crowd       quantile                 // median log stretch of answers, ours or told
@@ -92,10 +95,10 @@
 	tells          bool            // a report told of threads, ever
 	excess         float64         // own queries in flight over those expected
 	trusted        int
+	faults         float64 // middle of the healthy engines' shares of faults
 	covered        float64 // share of peers whose own attempts we know
 	cores, threads float64 // of healthy engines: cores; all threads there, unheard ones as average
 }
-	faults         float64 // middle of the healthy engines' shares of faults
 
 // tenant is one tenant's traffic: here, and the mean over gateways.
 type tenant struct {
@@ -147,16 +150,33 @@
 	suspect       bool
 	trickleAt     Micros
 	coldSince     Micros
+	guessed       Micros          // when it seemed to have ended, without word of the list; 0: it did not
+	coldWas       Micros          // coldSince before that
 	drainBy       Micros          // what has its state there may be sent until then, while it drains
 	cold          []store         // for each class, while cold
 	warm          []int64         // groups read last, newest first
-	guessed       Micros          // when it seemed to have ended, without word of the list; 0: it did not
-	coldWas       Micros          // coldSince before that
 	probeAt       Micros          // last probe
 	asked         bool            // that one has not answered yet
 	loads         map[byte]Micros // groups that loads hold there, by when last seen; looked up only
 }
 
+// drawOf ranks the engines for a group of tables, the same at every gateway.
+func drawOf(tables int64, e *engine) uint64 {
+	h := fnv.New64a()
+	h.Write(binary.BigEndian.AppendUint32(binary.BigEndian.AppendUint64(nil, uint64(tables)), e.key))
+	return h.Sum64()
+}
+
+// heldNow is how many requests are owed an answer.
+func (g *Gateway) heldNow() (n int) {
+	for _, q := range g.live {
+		if !q.done {
+			n++
+		}
+	}
+	return n
+}
+
 // store is work of one class that may still be sent to a cold engine, seconds; under 0: none now.
 type store struct {
 	at   Micros // when it was last reckoned
@@ -567,6 +587,7 @@
 	}
 	f.covered = min(f.covered, 1)
 	var busy, age float64
+	var faults []float64
 	for _, e := range g.engines {
 		if e.State != Healthy {
 			continue
@@ -576,6 +597,7 @@
 		if !e.suspect {
 			f.trusted++
 		}
+		faults = append(faults, e.faults)
 		if k := g.known(e); k > 0 {
 			threads, _ := g.others(e)
 			busy += e.cores
@@ -587,17 +609,18 @@
 	}
 	if f.busy = g.all.busy; busy > 0 {
 		f.busy, f.heard, f.tells = f.threads/busy, true, true
-	var faults []float64
 	} else { // hearing nothing for long must not keep a gateway from trying
 		f.busy *= keep
 		if !f.tells { // no report ever does: what we have out, over our share, over some time
 			f.busy += (1 - keep) * g.ownThreads() / g.shareCores()
 		}
 	}
+	if slices.Sort(faults); len(faults) > 0 {
+		f.faults = faults[(len(faults)-1)/2]
+	}
 	f.age = age / max(1, float64(len(g.engines)))
 	f.threads = f.busy * f.cores
 	g.all = f
-		faults = append(faults, e.faults)
 }
 
 // rows is what to tell of the engines: what was heard within so many seconds, freshest first.
@@ -615,9 +638,6 @@
 		}
 		rows = append(rows, r)
 	}
-	if slices.Sort(faults); len(faults) > 0 {
-		f.faults = faults[(len(faults)-1)/2]
-	}
 	slices.SortStableFunc(rows, func(a, b row) int { return int(a.age - b.age) })
 	return rows
 }
@@ -730,6 +750,7 @@
 	}
 	a := q.attempts[p.Attempt]
 	a.notedAt, a.e.heard = g.now, max(a.e.heard, g.now)
+	a.e.lives(a)
 	switch p.Kind {
 	case ShareDone:
 		a.standing, a.noted = false, true
@@ -750,7 +771,6 @@
 func (g *Gateway) end(q *request) {
 	q.done = true
 	g.unhold(q)
-	a.e.lives(a)
 	for _, a := range q.attempts {
 		g.callOff(a)
 	}
--- a/dispatcher/platform.go
+++ b/dispatcher/platform.go
@@ -44,6 +44,8 @@
 const (
 	ownSockets = 24
 	nodesPart  = 0.4
+	// clientsPart: clients keep to one descriptor in so many, and each asks one query at a time. More are never held.
+	clientsPart = 3
 )
 
 // Parts of the memory limit: where the collector works harder, and what is never given back between two collections.
@@ -77,7 +79,11 @@
 	nodes := int(float64(cfg.Sockets-ownSockets) * nodesPart)
 	p.fleet = fleet.New(fleet.Options{Log: p.log, Clock: p.clock, ConnectTimeout: span(cfg.OnSockets.ConnectTimeout),
 		LinesMost: nodes, LinesShared: cfg.OnSockets.StreamsPerConn, LinesIdle: span(cfg.OnSockets.ConnIdle) / 2})
-	core, err := dispatch.NewCore(cfg.Seed, cfg.Settings, p.fleet, p.tally)
+	settings := cfg.Settings
+	if most := cfg.Sockets / clientsPart; settings.MaxHeld == 0 || settings.MaxHeld > most {
+		settings.MaxHeld = most
+	}
+	core, err := dispatch.NewCore(cfg.Seed, settings, p.fleet, p.tally)
 	if err != nil {
 		return nil, err
 	}
