--- a/cmd/emberdispatch/main.go
+++ b/cmd/emberdispatch/main.go
@@ -25,6 +25,7 @@
 	Config   string `arg:"" optional:"" type:"existingfile" help:"Configuration file (JSON with comments)."`
 	Demo     bool   `help:"Serve 127.0.0.1:32010 (Flight SQL) and :32011 (ClickHouse native) with three stand-in query nodes in this process; any user and password."`
 	Platform bool   `help:"Serve the platform's protocol, as NODE_CONFIG says; everything else is off."`
+	Log      string `default:"info" enum:"debug,info,warn,error" help:"Level of the log with --platform: debug, info, warn or error."`
 	Seed     uint64 `help:"Seed of the decision module's random numbers; 0 draws one."`
 }
 
--- a/cmd/emberdispatch/platform.go
+++ b/cmd/emberdispatch/platform.go
@@ -32,7 +32,7 @@
 		return 2
 	}
 	dispatcher.Limit(cfg)
-	log, flush, err := logs.New("info", "json")
+	log, flush, err := logs.New(cli.Log, "json")
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "emberdispatch: log:", err)
 		return 1
--- a/internal/lineproto/result.go
+++ b/internal/lineproto/result.go
@@ -58,6 +58,9 @@
 // Pages is how many pages the result has in all; 0 before the first has come.
 func (r *Result) Pages() int { return r.total }
 
+// Have is how many of them are there.
+func (r *Result) Have() int { return r.have }
+
 // Size is how many bytes are held.
 func (r *Result) Size() int { return r.size }
 
