A dispatcher that has drained ends at once: connections close before they are awaited

Seen in TestPlatformDrains: the loop had ended, the process had not after 5 s. Line at fault: fleet.go Close(): readers of kept connections belong to the group that it waits for, and the connections were closed after that.

--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"log/slog"
+	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -50,8 +51,10 @@
 	ctx     context.Context
 	stop    context.CancelFunc
 	onNodes func([]nodelist.Node) // told of each list that comes into force; nil: nobody
-	tell    func(int, []byte)     // carries messages to other dispatchers; nil: nothing does
-	refetch func()                // asks the list's source again; nil: there is nothing to ask
+	// dialLines opens a connection to a node that speaks lines.
+	dialLines func(ctx context.Context, address string) (net.Conn, error)
+	tell      func(int, []byte) // carries messages to other dispatchers; nil: nothing does
+	refetch   func()            // asks the list's source again; nil: there is nothing to ask
 
 	mu       sync.Mutex
 	closed   bool
@@ -90,7 +93,7 @@
 		o.Log = slog.New(slog.DiscardHandler)
 	}
 	ctx, stop := context.WithCancel(context.Background())
-	return &Fleet{log: o.Log, clock: o.Clock, opt: o, group: new(errgroup.Group), ctx: ctx, stop: stop,
+	return &Fleet{log: o.Log, clock: o.Clock, opt: o, dialLines: dialTCP, group: new(errgroup.Group), ctx: ctx, stop: stop,
 		nodes: map[string]*node{}, attempts: map[string][]*attempt{}, sessions: map[string]*sessionConn{}}
 }
 
@@ -141,6 +144,9 @@
 	f.stop()
 	f.mu.Lock()
 	f.closed = true
+	for _, n := range f.nodes { // their readers are waited for
+		n.lines.close()
+	}
 	f.mu.Unlock()
 	err := f.group.Wait()
 	f.mu.Lock()
