--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -65,7 +65,7 @@
 	}
 	dial, cancel := context.WithTimeout(ctx, f.opt.ConnectTimeout)
 	defer cancel()
-	conn, err := dialTCP(dial, p.address)
+	conn, err := f.dialLines(dial, p.address)
 	if err != nil {
 		f.linesOpen.Add(-1)
 		if dial.Err() != nil && ctx.Err() == nil { // what does not come up has not been alive on older connections either
--- /dev/null
+++ b/fleet/lines_test.go
@@ -0,0 +1,343 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"strings"
+	"sync"
+	"syscall"
+	"testing"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/dispatch"
+	"embershunt/internal/lineproto"
+	"embershunt/nodelist"
+	"embershunt/standin"
+)
+
+// lineFleet is a fleet with one node that speaks lines.
+type lineFleet struct {
+	*Fleet
+	t     *testing.T
+	tape  tape
+	clock dispatch.Clock
+	notes []choice.Progress
+}
+
+func newLineFleet(t *testing.T, o Options, addresses ...string) *lineFleet {
+	t.Helper()
+	f := &lineFleet{t: t, clock: dispatch.NewClock(), tape: tape{make(chan dispatch.Event, 10000)}}
+	o.Clock, o.ConnectTimeout = f.clock, 200*time.Millisecond
+	f.Fleet = New(o)
+	f.Bind(f.tape)
+	t.Cleanup(func() { f.Close() })
+	var nodes []nodelist.Node
+	for i, a := range addresses {
+		nodes = append(nodes, nodelist.Node{ID: fmt.Sprintf("n%d", i), Lines: a})
+	}
+	if err := f.SetNodes(nodes); err != nil {
+		t.Fatal(err)
+	}
+	return f
+}
+
+func (f *lineFleet) send(id string, n int, node string, within time.Duration) {
+	now := f.clock.Now()
+	f.Send(dispatch.Attempt{Query: &dispatch.Query{ID: "q-" + id, Due: now + 1e7, Work: &lineproto.Request{ID: id, Class: "lookup",
+		Text: "SELECT 1", Priority: -1}}, N: n, Node: node, Until: now + within.Microseconds()})
+}
+
+func (f *lineFleet) end() dispatch.Ended {
+	f.t.Helper()
+	ctx, cancel := context.WithTimeout(f.t.Context(), 5*time.Second)
+	defer cancel()
+	for {
+		select {
+		case <-ctx.Done():
+			f.t.Fatal("no end in 5 s")
+		case ev := <-f.tape.events:
+			switch ev := ev.(type) {
+			case dispatch.Ended:
+				return ev
+			case dispatch.Told:
+				if p, ok := ev.Event.(choice.Progress); ok {
+					f.notes = append(f.notes, p)
+				}
+			}
+		}
+	}
+}
+
+func rowsOf(r any) string {
+	result, ok := r.(*lineproto.Result)
+	if !ok {
+		return ""
+	}
+	var b strings.Builder
+	result.Rows(func(c [][]byte) { fmt.Fprintf(&b, "%s|%s|%s;", c[0], c[1], c[2]) })
+	return b.String()
+}
+
+// Every way in which a node may end an attempt over lines, with care for what may have run.
+func TestEndsOfLineAttempts(t *testing.T) {
+	say := func(word, fields, body string) func(net.Conn, standin.LineCommand) {
+		return func(c net.Conn, cmd standin.LineCommand) {
+			if cmd.Verb == "GET" {
+				fmt.Fprint(c, standin.LineAnswer(cmd.ID, word, fields, body))
+			}
+		}
+	}
+	raw := func(text string) func(net.Conn, standin.LineCommand) {
+		return func(c net.Conn, cmd standin.LineCommand) { fmt.Fprint(c, strings.ReplaceAll(text, "ID", cmd.ID)) }
+	}
+	paged := func(page func(n int) string) func(net.Conn, standin.LineCommand) {
+		return func(c net.Conn, cmd standin.LineCommand) {
+			switch cmd.Verb {
+			case "GET":
+				fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=3,rep=busy:0.5;rif:7", "a\tb\tc\n"))
+			case "PAGE":
+				fmt.Fprint(c, page(cmd.N))
+			}
+		}
+	}
+	whole := func(n int) string {
+		return standin.LineAnswer("id", "page", fmt.Sprintf("index=%d", n), fmt.Sprintf("p\t%d\t\n", n))
+	}
+	cases := []struct {
+		name string
+		play func(net.Conn, standin.LineCommand)
+		code choice.Code
+		rows string
+	}{
+		{"one page", say("data", "total=1", "a\tb\tc\nd\te\tf\n"), choice.OK, "a|b|c;d|e|f;"},
+		{"no rows", say("data", "total=1", ""), choice.OK, ""},
+		{"three pages", paged(whole), choice.OK, "a|b|c;p|1|;p|2|;"},
+		{"pages in another order, each twice", func(c net.Conn, cmd standin.LineCommand) {
+			if cmd.Verb == "GET" {
+				paged(nil)(c, cmd)
+			} else if cmd.Verb == "PAGE" && cmd.N == 2 {
+				fmt.Fprint(c, whole(2)+whole(2)+whole(1)+whole(1))
+			}
+		}, choice.OK, "a|b|c;p|1|;p|2|;"},
+		{"a second copy and an answer to nobody before it", raw(standin.LineAnswer("other", "data", "total=1", "x\ty\tz\n") +
+			standin.LineAnswer("ID", "data", "total=1", "a\tb\tc\n") + standin.LineAnswer("ID", "data", "total=1", "a\tb\tc\n")), choice.OK, "a|b|c;"},
+		{"full", say("full", "", ""), choice.Full, ""},
+		{"moot", say("moot", "", ""), choice.Moot, ""},
+		{"failed", say("failed", "", "what went wrong"), choice.Failed, ""},
+		{"a page that its node has lost", paged(func(int) string { return standin.LineAnswer("id", "failed", "", "") }), choice.Failed, ""},
+		{"a page beyond the last", paged(func(int) string { return whole(7) }), choice.Failed, ""},
+		{"a page within a row", say("data", "total=1", "a\tb\tc\nd\te"), choice.Failed, ""},
+		{"a row of two columns", say("data", "total=1", "a\tb\n"), choice.Failed, ""},
+		{"noise in a row", say("data", "total=1", "a\t\xff\xfe\tc\n"), choice.Failed, ""},
+		{"noise", raw("\x00\x01\x02 noise\r\n"), choice.Failed, ""},
+		{"an endless line", raw(strings.Repeat("x", 100000)), choice.Failed, ""},
+		{"3 GB", raw("ID data total=1 3000000000\r\n" + strings.Repeat("x", 100000)), choice.Failed, ""},
+		{"a negative length", raw("ID data total=1 -5\r\nabc\r\n"), choice.Failed, ""},
+		{"a length that does not fit", raw("ID data total=1 3\r\na\tb\tc\n\r\n"), choice.Failed, ""},
+		{"no total", say("data", "", "a\tb\tc\n"), choice.Failed, ""},
+		{"cut short", func(c net.Conn, cmd standin.LineCommand) {
+			fmt.Fprintf(c, "%s data total=1 6\r\na\tb", cmd.ID)
+			c.Close()
+		}, choice.Reset, ""},
+		{"reset under a request", func(c net.Conn, _ standin.LineCommand) { standin.ResetConn(c) }, choice.Reset, ""},
+		{"never", func(net.Conn, standin.LineCommand) {}, choice.TimedOut, ""},
+		{"a whole page and then nothing", paged(func(int) string { return "" }), choice.TimedOut, ""},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			node, err := standin.NewLineNode("", c.play)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer node.Close()
+			f := newLineFleet(t, Options{}, node.Address())
+			f.send("id", 0, "n0", 300*time.Millisecond)
+			end := f.end()
+			if end.Code != c.code || rowsOf(end.Result) != c.rows {
+				t.Errorf("code %d (%v), rows %q; want %d, %q", end.Code, end.Err, rowsOf(end.Result), c.code, c.rows)
+			}
+			if strings.Contains(c.name, "pages") && c.code == choice.OK && (end.Load == nil || end.Load.Util != 0.5 || end.Load.InFlight != 7) {
+				t.Errorf("load %+v", end.Load)
+			}
+		})
+	}
+}
+
+// What proves that nothing ran, and what does not: nobody listens, a new connection that breaks, a kept one that has ended.
+func TestConnectionsOfLineAttempts(t *testing.T) {
+	serve := func(c net.Conn, cmd standin.LineCommand) {
+		if cmd.Verb == "GET" {
+			fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=1", "a\tb\tc\n"))
+		}
+	}
+	node, err := standin.NewLineNode("", serve)
+	if err != nil {
+		t.Fatal(err)
+	}
+	address := node.Address()
+	f := newLineFleet(t, Options{}, address)
+	broken := 2
+	f.dialLines = func(ctx context.Context, address string) (net.Conn, error) {
+		if broken--; broken >= 0 {
+			return nil, &net.OpError{Op: "dial", Err: syscall.ECONNRESET}
+		}
+		return dialTCP(ctx, address)
+	}
+	f.send("a", 0, "n0", time.Second)
+	if end := f.end(); end.Code != choice.OK {
+		t.Errorf("two new connections broke: code %d (%v)", end.Code, end.Err)
+	}
+	broken = linesTries
+	f.send("b", 0, "n0", time.Second) // on the kept connection
+	if end := f.end(); end.Code != choice.OK || node.Accepted() != 1 {
+		t.Errorf("code %d (%v), %d connections", end.Code, end.Err, node.Accepted())
+	}
+	f.send("c", 0, "gone", time.Second)
+	if end := f.end(); end.Code != choice.Refused {
+		t.Errorf("a node that is not listed: code %d", end.Code)
+	}
+	node.Close()
+	broken = 0
+	f.send("d", 0, "n0", time.Second)
+	if end := f.end(); end.Code != choice.Refused && end.Code != choice.Reset {
+		t.Errorf("nobody listens: code %d (%v)", end.Code, end.Err)
+	}
+	f.send("e", 0, "n0", time.Second)
+	if end := f.end(); end.Code != choice.Refused {
+		t.Errorf("nobody listens: code %d (%v)", end.Code, end.Err)
+	}
+	if node, err = standin.NewLineNode(address, serve); err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f.send("f", 0, "n0", time.Second)
+	if end := f.end(); end.Code != choice.OK {
+		t.Errorf("it is back: code %d (%v)", end.Code, end.Err)
+	}
+}
+
+// Attempts share a connection only where there are no more, never beyond what the node takes, and never with their own id.
+func TestAttemptsShareConnectionsAtLast(t *testing.T) {
+	hold := make(chan struct{})
+	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		if cmd.Verb == "GET" && cmd.ID == "last" {
+			close(hold)
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newLineFleet(t, Options{LinesMost: 2, LinesShared: 2}, node.Address())
+	for i := range 4 {
+		id := fmt.Sprintf("r%d", i)
+		if i == 3 {
+			id = "last"
+		}
+		f.send(id, 0, "n0", 3*time.Second)
+		for len(node.Commands()) < i+1 {
+			time.Sleep(time.Millisecond)
+		}
+	}
+	<-hold
+	if node.Accepted() != 2 {
+		t.Errorf("%d connections for 4 attempts, want 2", node.Accepted())
+	}
+	f.send("more", 0, "n0", 3*time.Second)
+	if end := f.end(); end.Code != choice.Moot {
+		t.Errorf("no room on any connection: code %d (%v)", end.Code, end.Err)
+	}
+}
+
+// A given-up request is dropped at its node, its late answer goes to nobody, and its id does not come back on the connection.
+func TestGivenUpRequests(t *testing.T) {
+	var mu sync.Mutex
+	conns := map[string]net.Conn{}
+	got := make(chan standin.LineCommand, 10)
+	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		mu.Lock()
+		conns[cmd.Verb] = c
+		mu.Unlock()
+		if cmd.Verb == "DROP" {
+			fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=1", "late\t\t\n"))
+		}
+		if cmd.Verb == "GET" && cmd.Text == "SELECT 1" && len(got) > 1 {
+			fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=1", "new\t\t\n"))
+		}
+		got <- cmd
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newLineFleet(t, Options{}, node.Address())
+	f.send("id", 0, "n0", 3*time.Second)
+	for len(got) < 1 {
+		time.Sleep(time.Millisecond)
+	}
+	f.Cancel("q-id", 0)
+	if end := f.end(); end.Code != choice.Cancelled {
+		t.Fatalf("code %d", end.Code)
+	}
+	for len(got) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	f.send("id", 1, "n0", 3*time.Second)
+	if end := f.end(); end.Code != choice.OK || rowsOf(end.Result) != "new||;" {
+		t.Errorf("code %d, rows %q", end.Code, rowsOf(end.Result))
+	}
+	if node.Accepted() != 2 {
+		t.Errorf("%d connections: the id came back where it had been given up", node.Accepted())
+	}
+}
+
+// A node in place of another at its address inherits no connection, and one that has gone keeps none.
+func TestANodeThatTakesAnAddress(t *testing.T) {
+	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		if cmd.Verb == "GET" {
+			fmt.Fprint(c, standin.LineAnswer(cmd.ID, "news", "why=p,datum=0.5", "")+standin.LineAnswer(cmd.ID, "news", "why=w,datum=2", "")+
+				standin.LineAnswer(cmd.ID, "data", "total=1", ""))
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newLineFleet(t, Options{}, node.Address())
+	f.send("a", 0, "n0", time.Second)
+	f.end()
+	want := []choice.Progress{{ID: "q-a", Engine: "n0", Kind: choice.ShareDone, Value: 0.5}, {ID: "q-a", Engine: "n0", Kind: choice.WaitsLoad, Value: 2}}
+	if fmt.Sprint(f.notes) != fmt.Sprint(want) {
+		t.Errorf("notes %v, want %v", f.notes, want)
+	}
+	f.SetNodes([]nodelist.Node{{ID: "n1", Lines: node.Address()}})
+	f.send("b", 0, "n1", time.Second)
+	if f.end(); node.Accepted() != 2 {
+		t.Errorf("%d connections, want one for each node", node.Accepted())
+	}
+	f.SetNodes(nil)
+	for f.LinesOpen() > 0 { // readers see the end of their connections
+		time.Sleep(time.Millisecond)
+	}
+	if f.nodes["n0"] != nil || f.nodes["n1"] != nil || len(f.attempts) > 0 {
+		t.Error("something is kept of nodes that have gone")
+	}
+}
+
+func TestLoadReports(t *testing.T) {
+	for s, want := range map[string]*choice.Load{
+		"inflight:7;util:0.61":       {Util: 0.61, InFlight: 7, Queue: -1, Memory: -1, Disk: -1},
+		"rif:7;busy:0.61;q:2;x0:0.5": {Util: 0.61, InFlight: 7, Queue: 2, Memory: 0.5, Disk: -1},
+		"":                           nil,
+		"util:x":                     nil,
+		"util:-1":                    nil,
+		"util:NaN":                   nil,
+	} {
+		got := linesLoad(s)
+		if (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("%q: %+v, want %+v", s, got, want)
+		}
+	}
+}
--- /dev/null
+++ b/front/postgres/fields_test.go
@@ -0,0 +1,111 @@
+package postgres
+
+import (
+	"errors"
+	"strings"
+	"testing"
+	"time"
+
+	"embershunt/choice"
+)
+
+func testSettings() choice.Settings {
+	return choice.Settings{Peers: 1, Classes: []choice.Class{
+		{Name: "lookup", Worth: 1, Aim: 1e6, Deadline: 3e6}, {Name: "load", Worth: 5, Aim: 3e6, Deadline: 9e6, Effect: choice.Keyed}},
+		Kinds: []choice.Kind{{Cores: 8, MemoryMB: 1000}}, Tenants: []choice.Tenant{{Name: "motor"}, {Name: "property"}}}
+}
+
+const good = "/* route=lookup,trace=9b1f03aa5c7e2d41,patience=1500 */ SELECT 1"
+
+func TestFields(t *testing.T) {
+	s := testSettings()
+	a, err := read("/* route=load, trace=9B1F03aa5c7e2d41,patience=1500.5,customer=property,nonce=5c0f,weight=820.0,need_mb=96,new=1 */\n\tINSERT INTO sales_17.orders\r\nSELECT '/* x */' ", &s)
+	want := asked{trace: "9B1F03aa5c7e2d41", class: 1, tenant: 1, patience: 1500500 * time.Microsecond, nonce: "5c0f",
+		weight: 820 * time.Millisecond, needMB: 96, text: "INSERT INTO sales_17.orders\r\nSELECT '/* x */' "}
+	if err != nil || a != want {
+		t.Errorf("%+v, %v", a, err)
+	}
+	if a, err = read(good, &s); err != nil || a.tenant != -1 || a.text != "SELECT 1" {
+		t.Errorf("%+v, %v", a, err)
+	}
+	// Each of these would void the run, or be served to somebody who must not be, if it went on to a node.
+	for in, field := range map[string]string{
+		"SELECT 1":                 "comment",
+		"/* route=lookup SELECT 1": "comment",
+		"/* route=lookup,route=load,trace=9b1f03aa5c7e2d41,patience=1 */ x": "comment",
+		"/* lookup */ SELECT 1":                                             "comment",
+		"/**/ SELECT 1":                                                     "comment",
+		strings.Replace(good, "SELECT 1", " ; ", 1):                         "statement",
+		strings.Replace(good, "SELECT 1", "SELECT '\xff'", 1):               "statement",
+		strings.Replace(good, "trace=9b1f03aa5c7e2d41,", "", 1):             "trace",
+		strings.Replace(good, "9b1f03aa5c7e2d41", "9b1f", 1):                "trace",
+		strings.Replace(good, "9b1f03aa5c7e2d41", "9b1f03aa5c7e2d4x", 1):    "trace",
+		strings.Replace(good, "route=lookup", "route=other", 1):             "route",
+		strings.Replace(good, "route=lookup", "route=", 1):                  "route",
+		strings.Replace(good, "route=lookup,", "", 1):                       "route",
+		strings.Replace(good, "route", "customer=nobody,route", 1):          "customer",
+		strings.Replace(good, "patience=1500", "patience=-1", 1):            "patience",
+		strings.Replace(good, "patience=1500", "patience=0", 1):             "patience",
+		strings.Replace(good, "patience=1500", "patience=NaN", 1):           "patience",
+		strings.Replace(good, "patience=1500", "patience=1e3", 1):           "patience",
+		strings.Replace(good, "patience=1500", "patience=9999999999999", 1): "patience",
+		strings.Replace(good, ",patience=1500", "", 1):                      "patience",
+		strings.Replace(good, "route", "weight=-3,route", 1):                "weight",
+		strings.Replace(good, "route", "weight=inf,route", 1):               "weight",
+		strings.Replace(good, "route", "weight=9999999999999,route", 1):     "weight",
+		strings.Replace(good, "route", "need_mb=much,route", 1):             "need_mb",
+		strings.Replace(good, "route", "need_mb=1000000,route", 1):          "need_mb",
+		strings.Replace(good, "lookup", "load", 1):                          "nonce",
+		strings.Replace(good, "route=lookup", "route=load,nonce=a b", 1):    "nonce",
+	} {
+		_, err := read(in, &s)
+		var bad *BadFieldError
+		if !errors.As(err, &bad) || bad.Field != field || bad.Allowed == "" {
+			t.Errorf("%q: %v, want a word on %s", in, err, field)
+		}
+	}
+}
+
+// The group of tables is in the name of the schema, never in a string, a comment, an alias or the schema staging.
+func TestGroup(t *testing.T) {
+	for in, want := range map[string]int64{
+		"SELECT day, count(*), max(note) FROM sales_17.orders WHERE tag = '3f9c' GROUP BY day":        17,
+		"INSERT INTO sales_4.orders SELECT * FROM staging.batch_9":                                    4,
+		"INSERT INTO sales_4.orders SELECT * FROM staging.batch_9, other_5.t":                         4,
+		"select a_1.x from staging.b a_1 join sales_6.orders on a_1.y = 2":                            6,
+		"SELECT t_2.day FROM (SELECT * FROM x) t_2, sales_3.orders":                                   3,
+		"SELECT '/* FROM sales_1.a */ FROM sales_2.b', E'\\' FROM sales_8.c' FROM sales_3.d":          3,
+		"SELECT 'it''s FROM sales_1.a' FROM \"sales_12\".\"orders\"":                                  12,
+		"SELECT $$ FROM sales_1.a $$, $q$ FROM sales_2.a $q$, $1 FROM sales_5.o":                      5,
+		"-- FROM sales_1.a\n/* FROM sales_2.a /* nested */ FROM sales_3.a */ SELECT * FROM sales_9.a": 9,
+		"UPDATE sales_10 . orders SET x = 1":                                                          10,
+		"SELECT 1":                                                                                    0,
+		"SELECT * FROM orders_17":                                                                     0,
+		"SELECT * FROM staging.orders_17":                                                             0,
+		"SELECT * FROM sales_x7.orders":                                                               0,
+		"SELECT * FROM sales_99999999999999999999.orders":                                             0,
+		"SELECT 'open FROM sales_1.a":                                                                 0,
+	} {
+		if got := group(in); got != want {
+			t.Errorf("%q: %d, want %d", in, got, want)
+		}
+	}
+}
+
+func FuzzRead(f *testing.F) {
+	s := testSettings()
+	f.Add(good)
+	f.Add("/* route=load,trace=9b1f03aa5c7e2d41,patience=1,nonce=x */ INSERT INTO a_1.b SELECT $x$ ' $x$ -- \n/* /* */")
+	f.Fuzz(func(t *testing.T, in string) {
+		a, err := read(in, &s)
+		if err != nil {
+			return
+		}
+		if !strings.HasSuffix(in, a.text) || len(a.trace) != 16 || a.patience <= 0 || a.patience > 10*time.Second || a.weight < 0 || a.needMB < 0 {
+			t.Errorf("%q: %+v", in, a)
+		}
+		if group(a.text) < 0 {
+			t.Errorf("%q: group %d", in, group(a.text))
+		}
+	})
+}
--- /dev/null
+++ b/front/postgres/session_test.go
@@ -0,0 +1,412 @@
+package postgres
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"strings"
+	"sync"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"embershunt/dispatch"
+	"embershunt/front"
+	"embershunt/internal/lineproto"
+	"embershunt/internal/pgwire"
+)
+
+func TestMain(m *testing.M) { goleak.VerifyTestMain(m) }
+
+// desk is what a front posts to: it answers, or keeps queries until a test does.
+type desk struct {
+	answer func(q *dispatch.Query) (dispatch.Verdict, bool)
+
+	mu   sync.Mutex
+	open map[string]*dispatch.Query
+	left chan string
+}
+
+func (d *desk) Post(ev dispatch.Event) {
+	switch ev := ev.(type) {
+	case dispatch.Taken:
+		if d.answer != nil {
+			if v, ok := d.answer(ev.Query); ok {
+				ev.Query.Client.Answer(v)
+				return
+			}
+		}
+		d.mu.Lock()
+		d.open[ev.Query.ID] = ev.Query
+		d.mu.Unlock()
+	case dispatch.Left:
+		d.mu.Lock()
+		q := d.open[ev.ID]
+		delete(d.open, ev.ID)
+		d.mu.Unlock()
+		if q != nil {
+			q.Client.Answer(dispatch.Verdict{Final: dispatch.Failed, Reason: dispatch.ReasonGone})
+			d.left <- q.Work.(*lineproto.Request).ID
+		}
+	}
+}
+
+// result is a served answer of so many rows.
+func result(rows int) dispatch.Verdict {
+	r := &lineproto.Result{}
+	a, err := lineproto.NewReader(strings.NewReader(fmt.Sprintf("a data total=1 %d\r\n%s\r\n", 6*rows, strings.Repeat("x\ty\tz\n", rows)))).Read()
+	if err != nil {
+		panic(err)
+	}
+	r.Add(&a)
+	return dispatch.Verdict{Final: dispatch.Served, Result: r}
+}
+
+type served struct {
+	t       *testing.T
+	front   *Front
+	desk    *desk
+	address string
+	stop    func()
+}
+
+func serve(t *testing.T, o Options, answer func(q *dispatch.Query) (dispatch.Verdict, bool)) *served {
+	t.Helper()
+	d := &desk{answer: answer, open: map[string]*dispatch.Query{}, left: make(chan string, 100)}
+	o.Settings = testSettings()
+	s := &served{t: t, desk: d, front: New(o, front.NewDesk(d, dispatch.NewClock(), front.Tables{}))}
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.address = l.Addr().String()
+	ctx, cancel := context.WithCancel(context.Background())
+	done := make(chan error, 1)
+	go func() { done <- s.front.Serve(ctx, l) }()
+	var once sync.Once
+	s.stop = func() {
+		once.Do(func() {
+			cancel()
+			if err := <-done; err != nil {
+				t.Error(err)
+			}
+		})
+	}
+	t.Cleanup(s.stop)
+	return s
+}
+
+// client is one connection to a front.
+type client struct {
+	t *testing.T
+	net.Conn
+	r   *bufio.Reader
+	key pgwire.Key
+}
+
+var startupMessage = append([]byte{0, 0, 0, 30, 0, 3, 0, 0}, "user\x00app\x00database\x00dw\x00\x00"...)
+
+func message(kind byte, body string) []byte {
+	n := len(body) + 4
+	return append([]byte{kind, byte(n >> 24), byte(n >> 16), byte(n >> 8), byte(n)}, body...)
+}
+
+func query(text string) []byte { return message('Q', text+"\x00") }
+
+func (s *served) connect() *client {
+	s.t.Helper()
+	conn, err := net.Dial("tcp", s.address)
+	if err != nil {
+		s.t.Fatal(err)
+	}
+	conn.SetDeadline(time.Now().Add(10 * time.Second))
+	s.t.Cleanup(func() { conn.Close() })
+	return &client{t: s.t, Conn: conn, r: bufio.NewReader(conn)}
+}
+
+// session connects and shakes hands.
+func (s *served) session() *client {
+	s.t.Helper()
+	c := s.connect()
+	c.Write(startupMessage)
+	if got := c.until('Z'); !strings.HasPrefix(got, "R") {
+		s.t.Fatalf("start-up answered with %s", got)
+	}
+	return c
+}
+
+// until reads messages up to one of a kind, or to the end, and returns their kinds; an error's SQLSTATE stands behind it.
+func (c *client) until(last byte) (kinds string) {
+	for {
+		kind, body, err := pgwire.ReadMessage(c.r, nil, 1<<20)
+		if err != nil {
+			return kinds + "."
+		}
+		kinds += string(kind)
+		if kind == 'K' {
+			c.key = pgwire.Key{Process: uint32(body[0])<<24 | uint32(body[1])<<16 | uint32(body[2])<<8 | uint32(body[3]),
+				Secret: uint32(body[4])<<24 | uint32(body[5])<<16 | uint32(body[6])<<8 | uint32(body[7])}
+		}
+		if kind == 'E' {
+			for f := range strings.SplitSeq(string(body), "\x00") {
+				if strings.HasPrefix(f, "C") {
+					kinds += "(" + f[1:] + ")"
+				}
+				if _, ms, ok := strings.Cut(f, "pause="); ok && f[0] == 'M' {
+					kinds += "(pause " + ms + ")"
+				}
+			}
+		}
+		if kind == last {
+			return kinds
+		}
+	}
+}
+
+func ask(trace int, rest string) []byte {
+	return query(fmt.Sprintf("/* route=lookup,trace=%016x,patience=2000 */ %s", trace, rest))
+}
+
+// The final answers as clients see them. None but a refusal wears a code of class 53 or 57P03.
+func TestFinalAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		v    dispatch.Verdict
+		want string
+	}{
+		"served":        {result(3), "TDDDCZ"},
+		"no rows":       {result(0), "TCZ"},
+		"refused":       {dispatch.Verdict{Final: dispatch.Refused, Reason: dispatch.ReasonOverload, ComeBack: 250700}, "E(53000)(pause 250)Z"},
+		"refused, full": {dispatch.Verdict{Final: dispatch.Refused, Reason: dispatch.ReasonFull}, "E(53000)Z"},
+		"draining":      {dispatch.Verdict{Final: dispatch.Refused, Reason: dispatch.ReasonDraining}, "E(57P03)Z"},
+		"failed":        {dispatch.Verdict{Final: dispatch.Failed, Reason: dispatch.ReasonAttempt, ComeBack: 5000}, "E(58000)Z"},
+		"deadline":      {dispatch.Verdict{Final: dispatch.Failed, Reason: dispatch.ReasonDeadline}, "E(57014)Z"},
+		"stopped":       {dispatch.Verdict{Final: dispatch.Failed, Reason: dispatch.ReasonStopped}, "E(57P01)Z"},
+		"fault":         {dispatch.Verdict{Final: dispatch.Failed, Reason: dispatch.ReasonInternal}, "E(XX000)Z"},
+		"no result":     {dispatch.Verdict{Final: dispatch.Served}, "E(XX000)Z"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := serve(t, Options{}, func(*dispatch.Query) (dispatch.Verdict, bool) { return c.v, true })
+			cl := s.session()
+			for i := range 2 {
+				cl.Write(ask(i, "SELECT 1"))
+				if got := cl.until('Z'); got != c.want {
+					t.Errorf("%s, want %s", got, c.want)
+				}
+			}
+		})
+	}
+}
+
+// The first query may come right behind the start-up message, and anything may come in pieces; ready is told by an answer to
+// the empty query.
+func TestQueriesInPieces(t *testing.T) {
+	s := serve(t, Options{}, func(q *dispatch.Query) (dispatch.Verdict, bool) {
+		if q.Work.(*lineproto.Request).Text != "SELECT 'ü'" || q.Tables != 0 || q.Due <= 0 {
+			return dispatch.Verdict{Final: dispatch.Failed}, true
+		}
+		return result(1), true
+	})
+	whole := append(append([]byte{}, startupMessage...), ask(1, "SELECT 'ü'")...)
+	for cut := 1; cut < len(whole); cut += 3 {
+		c := s.connect()
+		c.Write(whole[:cut])
+		c.Write(whole[cut:])
+		if got := c.until('Z') + c.until('Z'); !strings.HasSuffix(got, "KZTDCZ") {
+			t.Fatalf("cut at %d: %s", cut, got)
+		}
+		c.Close()
+	}
+	c := s.connect()
+	c.Write([]byte{0, 0, 0, 8, 4, 210, 22, 47})
+	if b, _ := c.r.ReadByte(); b != 'N' {
+		t.Errorf("encryption answered with %q", b)
+	}
+	c.Write(startupMessage)
+	c.until('Z')
+	for _, empty := range []string{"", " ;\n"} {
+		c.Write(query(empty))
+		if got := c.until('Z'); got != "IZ" {
+			t.Errorf("the empty query %q answered with %s", empty, got)
+		}
+	}
+	c.Write(message('X', ""))
+	if _, err := c.r.ReadByte(); err != io.EOF {
+		t.Errorf("after the end: %v", err)
+	}
+}
+
+// Whatever cannot be used gets an error that promises nothing, or a close, and disturbs nobody.
+func TestBadClients(t *testing.T) {
+	const begin = 200 * time.Millisecond
+	s := serve(t, Options{Begin: begin, MaxStatement: 4096}, func(q *dispatch.Query) (dispatch.Verdict, bool) {
+		return result(1), q.Work.(*lineproto.Request).Text != "SELECT held"
+	})
+	usual := s.session()
+	usual.Write(ask(77, "SELECT held"))
+	for name, c := range map[string]struct {
+		in   []byte
+		want string
+	}{
+		"noise":                      {[]byte("\x00\x01\x02\x03noise that is no start-up"), "E(08P01)."},
+		"silence":                    {nil, "E(08P01)."},
+		"half a start-up":            {startupMessage[:11], "E(08P01)."},
+		"silence after the start-up": {startupMessage, "E(57P05)."},
+		"half a query":               {append(startupMessage[:len(startupMessage):len(startupMessage)], ask(1, "SELECT 1")[:30]...), "E(08P01)."},
+		"no fields":                  {query("SELECT 1"), "E(22023)Z"},
+		"an unknown class":           {query("/* route=x,trace=9b1f03aa5c7e2d41,patience=15 */ SELECT 1"), "E(22023)Z"},
+		"no id":                      {query("/* route=lookup,patience=15 */ SELECT 1"), "E(22023)Z"},
+		"an id that is open":         {ask(77, "SELECT 2"), "E(55006)Z"},
+		"60 MB":                      {append([]byte{'Q', 3, 0x93, 0x87, 0}, make([]byte, 1000)...), "E(54000)."},
+		"a negative length":          {[]byte{'Q', 255, 255, 255, 240}, "E(08P01)."},
+		"an unknown type":            {message('P', "x"), "E(0A000)."},
+		"a statement without an end": {message('Q', "SELECT"), "E(08P01)."},
+		"two at once":                {append(ask(2, "SELECT 1"), ask(3, "SELECT 1")...), "E(08P01)."},
+		"one behind an open one":     {append(ask(4, "SELECT held"), 0), "E(08P01)."},
+	} {
+		t.Run(name, func(t *testing.T) {
+			var cl *client
+			if strings.HasSuffix(c.want, "Z") || strings.HasPrefix(c.want, "E(5400") || c.in != nil && (c.in[0] == 'Q' || c.in[0] == 'P') {
+				cl = s.session()
+			} else {
+				cl = s.connect()
+			}
+			begun := time.Now()
+			cl.Write(c.in)
+			got := cl.until('Z')
+			if strings.HasPrefix(got, "R") {
+				got = cl.until('Z')
+			}
+			if got != c.want && got != "." { // a close may overtake the error where more had come
+				t.Errorf("%s, want %s", got, c.want)
+			}
+			if took := time.Since(begun); took > 10*begin {
+				t.Errorf("after %v", took)
+			}
+		})
+	}
+	s.desk.mu.Lock()
+	for _, q := range s.desk.open {
+		if q.Work.(*lineproto.Request).ID == fmt.Sprintf("%016x", 77) {
+			q.Client.Answer(result(1))
+		}
+	}
+	s.desk.mu.Unlock()
+	if got := usual.until('Z'); got != "TDCZ" {
+		t.Errorf("the usual client got %s", got)
+	}
+}
+
+// A client leaves by a cancel with its key, or by closing; another key does nothing. Its query is told as left, once.
+func TestClientsThatLeave(t *testing.T) {
+	s := serve(t, Options{}, nil)
+	wait := func() string {
+		select {
+		case id := <-s.desk.left:
+			return id[14:]
+		case <-time.After(5 * time.Second):
+			t.Fatal("nobody left")
+			return ""
+		}
+	}
+	cancel := func(k pgwire.Key) {
+		c := s.connect()
+		c.Write([]byte{0, 0, 0, 16, 4, 210, 22, 46, byte(k.Process >> 24), byte(k.Process >> 16), byte(k.Process >> 8), byte(k.Process),
+			byte(k.Secret >> 24), byte(k.Secret >> 16), byte(k.Secret >> 8), byte(k.Secret)})
+		if _, err := c.r.ReadByte(); err == nil {
+			t.Error("a cancel was answered")
+		}
+	}
+	a, b := s.session(), s.session()
+	a.Write(ask(1, "SELECT 1"))
+	b.Write(ask(2, "SELECT 1"))
+	s.opened(2)
+	cancel(pgwire.Key{Process: a.key.Process, Secret: a.key.Secret + 1})
+	cancel(a.key)
+	if id := wait(); id != "01" {
+		t.Errorf("%s left, want 01", id)
+	}
+	if got := a.until('Z'); got != "E(57014)Z" {
+		t.Errorf("%s", got)
+	}
+	b.Close()
+	if id := wait(); id != "02" {
+		t.Errorf("%s left, want 02", id)
+	}
+	a.Write(ask(3, "SELECT 1")) // the session goes on
+	s.opened(1)
+}
+
+// opened waits until so many queries are open at the desk.
+func (s *served) opened(n int) {
+	s.t.Helper()
+	for range 5000 {
+		s.desk.mu.Lock()
+		open := len(s.desk.open)
+		s.desk.mu.Unlock()
+		if open == n {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("not %d open", n)
+}
+
+// At the front's bound silent connections make room, those with an open query never; where all have one, the newcomer is
+// told that nothing was read.
+func TestTooManyConnections(t *testing.T) {
+	s := serve(t, Options{MostSessions: 4, Begin: time.Minute}, nil)
+	busy := s.session()
+	busy.Write(ask(1, "SELECT 1"))
+	s.opened(1)
+	for range 20 { // silent ones, by the dozen
+		s.connect()
+	}
+	other := s.session()
+	other.Write(ask(2, "SELECT 1"))
+	s.opened(2)
+	for i := range 2 {
+		c := s.session()
+		c.Write(ask(3+i, "SELECT 1"))
+		s.opened(3 + i)
+	}
+	if got := s.connect().until('Z'); got != "E(53300)." {
+		t.Errorf("one too many: %s", got)
+	}
+	if open, away, _ := s.front.Counts(); open != 4 || away != 1 {
+		t.Errorf("%d open, %d turned away", open, away)
+	}
+}
+
+// What is open when the front stops gets its answer written before connections close.
+func TestAnswersAreWrittenBeforeTheEnd(t *testing.T) {
+	s := serve(t, Options{}, nil)
+	c := s.session()
+	c.Write(ask(1, "SELECT 1"))
+	s.opened(1)
+	done := make(chan struct{})
+	go func() { s.stop(); close(done) }()
+	for _, q := range s.desk.open { // the loop has ended: nobody else reads it
+		q.Client.Answer(result(1000))
+	}
+	if got := c.until('Z'); strings.Count(got, "D") != 1000 {
+		t.Errorf("%d rows of 1000", strings.Count(got, "D"))
+	}
+	<-done
+}
+
+// Who sends again as soon as it is turned away waits, ever longer.
+func TestBadQueriesInARowAreSlowed(t *testing.T) {
+	s := serve(t, Options{}, nil)
+	c := s.session()
+	begun := time.Now()
+	for range 5 {
+		c.Write(query("SELECT 1"))
+		c.until('Z')
+	}
+	if took := time.Since(begun); took < 15*wrongPause { // 1 + 2 + 4 + 8, before the fifth answer
+		t.Errorf("five bad queries in %v", took)
+	}
+}
--- a/front/postgres/statement.go
+++ b/front/postgres/statement.go
@@ -129,11 +129,15 @@
 // tableWords are the keywords that a table's name follows.
 var tableWords = map[string]bool{"from": true, "join": true, "into": true, "update": true, "table": true, "using": true}
 
+// clauseWords end a list of tables, in which a comma stands before the next one.
+var clauseWords = map[string]bool{"select": true, "where": true, "group": true, "order": true, "having": true, "on": true, "set": true,
+	"limit": true, "union": true, "values": true, "returning": true}
+
 // group is the group of tables that a statement reads or writes: the number after the underscore in its schema's name; 0
 // where none has one. A name where a table must stand goes before any other, which may be an alias.
 func group(statement string) int64 {
 	var before, schema word
-	table, first, any := false, int64(0), int64(0)
+	list, table, first, any := false, false, int64(0), int64(0)
 	state := 0 // 1: after a name, 2: after its dot
 	words(statement, func(w word) bool {
 		switch {
@@ -147,11 +151,17 @@
 		case state == 1 && w.text == "." && !w.name:
 			state = 2
 		case w.name:
-			table = before.name && !before.quoted && tableWords[strings.ToLower(before.text)] || before.text == "," && table
+			if before.name && !before.quoted {
+				key := strings.ToLower(before.text)
+				list = tableWords[key] || list && !clauseWords[key]
+				table = tableWords[key]
+			} else {
+				table = list && before.text == ","
+			}
 			schema, state = w, 1
 		default:
-			if state = 0; w.text != "," {
-				table = false
+			if state = 0; before.name && !before.quoted && clauseWords[strings.ToLower(before.text)] {
+				list = false
 			}
 		}
 		before = w
--- /dev/null
+++ b/nodelist/platform_test.go
@@ -0,0 +1,106 @@
+package nodelist_test
+
+import (
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/nodelist"
+	"embershunt/standin"
+)
+
+var names = nodelist.Names{Halls: []string{"west", "east"}, Kinds: []string{"std", "big"}}
+
+func TestKnown(t *testing.T) {
+	target := func(uid, endpoint, state string) string {
+		return `{"uid":"` + uid + `","endpoint":"` + endpoint + `","az":"east","model":"big","pod_group":2,"state":"` + state + `","capacity_hint":4,"boot_ms":1700000000000}`
+	}
+	event := func(pos, all string, targets ...string) string {
+		return `{"pos":` + pos + `,"hosts":{"rev":7,"all":` + all + `,"targets":[` + strings.Join(targets, ",") + `]}}`
+	}
+	known := func(events ...string) json.RawMessage {
+		return json.RawMessage(`{"pos":9,"entries":[` + strings.Join(events, ",") + `]}`)
+	}
+	// b leaves, and c takes its address; a drains.
+	list, err := nodelist.ParseKnown(known(event("8", "true", target("a", "127.0.0.1:1", "active"), target("b", "127.0.0.2:1", "active")),
+		event("9", "false", target("a", "127.0.0.1:1", "leaving"), target("b", "127.0.0.2:1", "left"), target("c", "127.0.0.2:1", "active"))), names)
+	if err != nil || list.Number != 9 || len(list.Nodes) != 2 {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	want := nodelist.Node{ID: "a", Lines: "127.0.0.1:1", Hall: 1, Kind: 1, Cell: 2, State: choice.Draining, Weight: 4, Started: time.UnixMilli(1700000000000)}
+	if list.Nodes[0] != want || list.Nodes[1].ID != "c" {
+		t.Errorf("%+v", list.Nodes)
+	}
+	for bad, place := range map[string]string{
+		target("a", "127.0.0.1:1", "asleep"):                                      "state",
+		target("a", "nowhere", "active"):                                          "endpoint",
+		strings.Replace(target("a", "127.0.0.1:1", "active"), "east", "north", 1): "az",
+		strings.Replace(target("a", "127.0.0.1:1", "active"), "big", "huge", 1):   "model",
+	} {
+		if _, err := nodelist.ParseKnown(known(event("1", "true", bad)), names); err == nil || !strings.Contains(err.Error(), "entries[0].hosts.targets[0]."+place) {
+			t.Errorf("%s: %v", place, err)
+		}
+	}
+}
+
+func listed() []nodelist.Node {
+	return []nodelist.Node{
+		{ID: "s-1", Lines: "127.0.0.1:7001", Hall: 1, Kind: 1, Cell: 3, Weight: 4.5, Started: time.UnixMilli(1700000000000)},
+		{ID: "s-2", Lines: "127.0.0.2:7002", State: choice.Draining, Weight: 1}}
+}
+
+func all(uint16) bool { return true }
+
+// Names are compressed in the answer, also the targets of SRV records.
+func TestAnswers(t *testing.T) {
+	msg := standin.ListAnswer(7, 42, listed(), names)
+	if strings.Count(string(msg), "hosts") != 1 {
+		t.Fatal("the answer is not compressed: the test shows nothing")
+	}
+	list, err := nodelist.ParseAnswer(msg, all, names)
+	if err != nil || list.Number != 42 || len(list.Nodes) != 2 || list.Nodes[0] != listed()[0] || list.Nodes[1] != listed()[1] {
+		t.Fatalf("%+v, %v", list, err)
+	}
+	if list, err = nodelist.ParseAnswer(standin.ListAnswer(7, 43, nil, names), all, names); err != nil || len(list.Nodes) != 0 {
+		t.Errorf("an empty list: %+v, %v", list, err)
+	}
+	for cut := range msg { // cut short anywhere, it tells nothing
+		if _, err := nodelist.ParseAnswer(msg[:cut], all, names); err == nil {
+			t.Errorf("taken when cut to %d of %d bytes", cut, len(msg))
+		}
+	}
+	edit := func(at int, to byte) []byte {
+		b := append([]byte(nil), msg...)
+		b[at] = to
+		return b
+	}
+	for name, c := range map[string]struct {
+		msg   []byte
+		asked func(uint16) bool
+	}{
+		"another id":        {msg, func(id uint16) bool { return id == 8 }},
+		"a question":        {edit(2, 0), all},
+		"truncated":         {edit(2, msg[2]|2), all},
+		"a failure":         {edit(3, 2), all},
+		"another question":  {edit(13, 'x'), all},
+		"no address":        {standin.ListAnswer(7, 42, listed()[:1], nodelist.Names{Halls: []string{"west", "north"}, Kinds: names.Kinds}), all},
+		"an unknown kind":   {standin.ListAnswer(7, 42, listed(), nodelist.Names{Halls: names.Halls, Kinds: []string{"std", "odd"}}), all},
+		"fewer additionals": {edit(11, msg[11]-1), all},
+	} {
+		if list, err := nodelist.ParseAnswer(c.msg, c.asked, names); err == nil {
+			t.Errorf("%s: taken as %+v", name, list)
+		}
+	}
+}
+
+func FuzzParseAnswer(f *testing.F) {
+	f.Add(standin.ListAnswer(7, 42, listed(), names))
+	f.Fuzz(func(t *testing.T, msg []byte) {
+		list, err := nodelist.ParseAnswer(msg, all, names)
+		if err == nil && nodelist.Check(list.Nodes) != nil {
+			t.Errorf("%+v", list)
+		}
+	})
+}
--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -32,6 +32,8 @@
 	conn    net.Conn // nil: none is open
 }
 
+var errTooLong = errors.New("resolver: the answer is longer than an answer may be")
+
 // idsKept is how many questions may be open: answers come late.
 const idsKept = 8
 
@@ -133,6 +135,10 @@
 }
 
 func (r *Resolver) take(msg []byte) {
+	if len(msg) > nodelist.AnswerMost {
+		r.failed(errTooLong)
+		return
+	}
 	list, err := nodelist.ParseAnswer(msg, func(id uint16) bool { return slices.Contains(r.ids, id) }, r.names)
 	if err != nil {
 		r.failed(err)
