A query refused in the step in which its client left is no fault

The module refuses a query that comes and leaves in one step; it is off the books by then. dispatch/core.go entry(): an action crosses the end of a query that was taken and closed in the same step, and of no other.

--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -122,6 +122,7 @@
 		}
 	}()
 	c.events, c.actions = c.events[:0], 0
+	c.books.begin()
 	c.at = 0
 	for i, ev := range events {
 		c.at = i
@@ -145,7 +146,6 @@
 	}
 	c.at = len(events)
 	c.play(now)
-	clear(c.books.settled)
 	c.report(len(events), c.actions)
 	return nil
 }
@@ -315,9 +315,6 @@
 	case choice.Send:
 		c.send(now, a)
 	case choice.Terms:
-		if _, closed := c.books.settled[a.ID]; closed {
-			return
-		}
 		if e := c.entry(a.ID); e != nil {
 			e.terms = Attempt{MemoryMB: a.MemoryMB, Priority: a.Priority, HasTerms: true}
 			if e.out > 0 {
@@ -353,10 +350,11 @@
 	}
 }
 
-// entry is the query that an action names.
+// entry is the query that an action names. One that was taken and closed in this step is no fault: the module decided before
+// it heard of the end.
 func (c *Core) entry(id string) *entry {
 	e := c.books.entries[id]
-	if e == nil {
+	if _, crossed := c.books.settled[id]; e == nil && !crossed {
 		c.books.fault(FaultUnknown, id, nil)
 	}
 	return e
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -100,6 +100,14 @@
 	if len(tp.faults) > 0 || len(tp.lines) != 1 || c.Booked() != 0 {
 		t.Errorf("faults %v, done %v, booked %d", tp.faults, tp.lines, c.Booked())
 	}
+	s.say = func(Micros, []choice.Event) []choice.Action { return []choice.Action{choice.Refuse{ID: "r"}} }
+	c.Step(2*ms, []Event{Taken{tp.query("r", 50*ms)}, Left{"r"}}) // given up in the step in which its client left
+	if len(tp.faults) > 0 || len(tp.lines) != 2 {
+		t.Errorf("faults %v, done %v", tp.faults, tp.lines)
+	}
+	if c.Step(3*ms, nil); len(tp.faults) != 1 { // and again later: that is one
+		t.Errorf("faults %v", tp.faults)
+	}
 }
 
 // What the ledger lets through and what it withholds, whatever the module says.
--- a/dispatch/ledger.go
+++ b/dispatch/ledger.go
@@ -12,6 +12,7 @@
 type entry struct {
 	q        *Query
 	taken    Micros
+	step     int // in which it was taken
 	attempts []attempt
 	out      int // attempts that have not ended
 	opened   int // number of the attempt whose answer flows to the client; -1: none
@@ -98,7 +99,14 @@
 	entries map[string]*entry
 	due     dueHeap // of queries without a final answer
 	faults  []Fault
-	settled map[string]int // attempts of those closed in this step: what the module says of them crossed their end
+	step    int
+	settled map[string]int // attempts of queries both taken and closed in this step: what the module says of them crossed their end
+}
+
+// begin begins a step.
+func (l *ledger) begin() {
+	l.step++
+	clear(l.settled)
 }
 
 func (l *ledger) fault(kind FaultKind, id string, e *entry) {
@@ -115,7 +123,7 @@
 		l.fault(FaultDoubleID, q.ID, old)
 		return nil
 	}
-	e := &entry{q: q, taken: now, opened: -1, history: make([]mark, 0, 8)}
+	e := &entry{q: q, taken: now, step: l.step, opened: -1, history: make([]mark, 0, 8)}
 	e.mark(now, "taken", -1, -1)
 	l.entries[q.ID] = e
 	heap.Push(&l.due, e)
@@ -140,6 +148,9 @@
 func (l *ledger) settle(e *entry) {
 	if e.final != 0 && e.out == 0 {
 		delete(l.entries, e.q.ID)
+		if e.step != l.step {
+			return
+		}
 		if l.settled == nil {
 			l.settled = map[string]int{}
 		}
@@ -147,7 +158,7 @@
 	}
 }
 
-// late is the number of an attempt that the module makes of a query closed in this step; ok is false for any other query.
+// late is the number of an attempt that the module makes of a query taken and closed in this step; ok is false for any other query.
 func (l *ledger) late(id string) (n int, ok bool) {
 	if n, ok = l.settled[id]; ok {
 		l.settled[id]++
