At the bound of connections idle and slow clients go before newcomers

Ruled out: descriptors (1011 of 1024 but no accept failed), CPU (0.72 s of a second), module (0 attempts refused). Line at fault: postgres.go evict(): any connection without a query went before idle ones, and with 350 connections made a second the oldest of those was milliseconds old, its query on the way. Now, in this order: idle for over 5 s, without a query for over 0.5 s, idle, new. Also a query whose time is up before it is handed over has a microsecond left: none would have asked for its class's deadline, which this front does not have.

--- a/front/postgres/postgres.go
+++ b/front/postgres/postgres.go
@@ -151,11 +151,16 @@
 	f.group.Go(func() error { s.run(); return nil })
 }
 
-// usualIdle is the time after which clients close idle connections themselves; those that are kept longer go first.
-const usualIdle = 5 * time.Second
+// What makes a connection one of the first to go: clients close idle ones themselves after a while, and bring their first query
+// at once.
+const (
+	usualIdle  = 5 * time.Second
+	usualBegin = 500 * time.Millisecond
+)
 
-// evict closes one connection without an open query: one long idle, else the oldest that has brought no query, else the one
-// idle for the longest; false where all have open queries.
+// evict closes one connection without an open query, the oldest of the first kind that there is: long idle, without a query
+// for longer than usual, idle, new; false where all have open queries. An idle client only has to connect again; a new one
+// may have a query on its way.
 func (f *Front) evict() bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
@@ -167,12 +172,14 @@
 		if open || s.evicted {
 			continue
 		}
-		r := 1
-		if !asked {
-			r = 2
-		}
-		if asked && now.Sub(last) > usualIdle {
+		r, age := 1, now.Sub(last)
+		switch {
+		case asked && age > usualIdle:
+			r = 4
+		case !asked && age > usualBegin:
 			r = 3
+		case asked:
+			r = 2
 		}
 		if victim == nil || r > rank || r == rank && last.Before(oldest) {
 			victim, rank, oldest = s, r, last
--- a/front/postgres/session.go
+++ b/front/postgres/session.go
@@ -208,7 +208,7 @@
 		work.Key = a.nonce
 	}
 	s.mu.Lock()
-	query, err := s.f.desk.Begin(front.Call{Traits: a.traits(), Speaks: nodelist.Lines, Left: a.patience - time.Since(at), Work: work})
+	query, err := s.f.desk.Begin(front.Call{Traits: a.traits(), Speaks: nodelist.Lines, Left: max(a.patience-time.Since(at), time.Microsecond), Work: work})
 	if s.query = query; err == nil {
 		s.bad = 0
 	}
--- a/front/postgres/session_test.go
+++ b/front/postgres/session_test.go
@@ -380,6 +380,26 @@
 	}
 }
 
+// In a flood of clients that ask once and stay, and of some that bring half a query, who has just connected is not the one to go:
+// a query is on its way there, while an idle client only has to connect again.
+func TestNewcomersAreNotTheFirstToGo(t *testing.T) {
+	s := serve(t, Options{MostSessions: 8, Begin: time.Minute}, func(*dispatch.Query) (dispatch.Verdict, bool) { return result(0), true })
+	for i := range 60 {
+		fresh := s.session()
+		for j := range 3 { // each asks once and stays
+			c := s.session()
+			c.Write(ask(10*i+j, "SELECT 1"))
+			if got := c.until('Z'); got != "TCZ" {
+				t.Fatalf("client %d.%d: %s", i, j, got)
+			}
+		}
+		fresh.Write(ask(10*i+9, "SELECT 1"))
+		if got := fresh.until('Z'); got != "TCZ" {
+			t.Fatalf("the newcomer %d: %s", i, got)
+		}
+	}
+}
+
 // What is open when the front stops gets its answer written before connections close.
 func TestAnswersAreWrittenBeforeTheEnd(t *testing.T) {
 	s := serve(t, Options{}, nil)
