A client may mean to wait a little longer than its class's deadline

The log of reasons: patience 2542 to 2556 where 2541 was allowed, 5072 to 5077 for 5071. Line at fault: front/postgres/fields.go read(): the deadline itself, rounded up by 1 ms, was the bound. Now twice the deadline is. Test: TestFields, which refuses more than that, and takes 3016 for a deadline of 3000.

--- a/front/postgres/fields.go
+++ b/front/postgres/fields.go
@@ -38,6 +38,10 @@
 // weightMost bounds an estimate of work that can be meant, in milliseconds: eleven days on one core.
 const weightMost = 1e9
 
+// patienceTimes bounds the time that a client can mean to wait, in times of its class's deadline: it may count from a little
+// earlier than that does, so that the deadline itself is no bound.
+const patienceTimes = 2
+
 // fieldsMost bounds the fields of a comment.
 const fieldsMost = 32
 
@@ -66,8 +70,7 @@
 		}
 	}
 	class := &s.Classes[a.class]
-	most := float64(class.Deadline)/1e3 + 1 // a client may round
-	patience, err := figure("patience", fields["patience"], 1, most)
+	patience, err := figure("patience", fields["patience"], 1, patienceTimes*float64(class.Deadline)/1e3)
 	if err != nil {
 		return a, err
 	}
