--- a/choice/choice.go
+++ b/choice/choice.go
@@ -402,8 +402,8 @@
 	return w
 }
 
-// lane tells whether an engine takes loads of a group, the same at every gateway: those of a group on all engines would
-// leave none for the queries that wait for them, and on one engine they hold up one another.
+// lane tells whether an engine takes loads of a group, the same at every gateway: those of a group on all
+// engines would leave none for the queries that wait for them, and on one engine they hold up one another.
 func (g *Gateway) lane(tables int64, e *engine) bool {
 	healthy, before := 0, 0
 	for _, o := range g.engines {
@@ -419,11 +419,14 @@
 
 // ownLoad tells that a load of ours holds a group on an engine, or stands there for it.
 func (e *engine) ownLoad(tables int64) bool {
-	return slices.ContainsFunc(e.open, func(a *attempt) bool { return a.q.class.Loads && a.q.Tables == tables })
+	return slices.ContainsFunc(e.open, func(a *attempt) bool {
+		return a.q.class.Loads && a.q.Tables == tables
+	})
 }
 
-// doorPrice is what a second at the door is worth to others: nothing while few are held, and what those who are served
-// earn a second when as many are held as may be. It guards against queries that stand still and keep others out.
+// doorPrice is what a second at the door is worth to others: nothing while few are held, and what those who
+// are served earn a second when as many are held as may be. It guards against queries that stand still and
+// keep others out.
 func (g *Gateway) doorPrice(held int) float64 {
 	full := float64(held)/max(float64(g.set.MaxHeld), 1) - doorFree
 	if g.set.MaxHeld == 0 || full <= 0 || g.meanStay.v <= 0 {
@@ -632,8 +635,8 @@
 		} else if e := g.pick(q); e != nil {
 			g.send(q, e)
 		}
-		if q.Only == "" { // a queue behind one engine holds nobody else
-			full[q.Class] = q.held && g.mayStart(q) && !g.asking(q, askWait) && !q.class.Loads // each group has its line
+		if q.Only == "" && !q.class.Loads { // a queue behind one engine, or for one group, holds nobody else
+			full[q.Class] = q.held && g.mayStart(q) && !g.asking(q, askWait)
 		}
 	}
 }
@@ -750,16 +753,18 @@
 	g.doubt(e)
 }
 
-// lives takes word on an attempt: where it was sent before its engine seemed to end, the process never did. It
-// guards against networks that break single connections: each pair of them would make an engine cold for long.
+// lives takes word on an attempt: where it was sent before its engine seemed to end, the process never did.
+// It guards against networks that break single connections: each pair of them would make an engine cold for
+// long.
 func (e *engine) lives(a *attempt) {
 	if e.guessed > a.sent {
 		e.coldSince, e.guessed = e.coldWas, 0
 	}
 }
 
-// doubt turns distrust on and off by the share of faults, ours and peers' word, over what is usual in the fleet:
-// faults that all engines have are none of theirs (a bad network), and nothing better is left to send to.
+// doubt turns distrust on and off by the share of faults, ours and peers' word, over what is usual in the
+// fleet: faults that all engines have are none of theirs (a bad network), and nothing better is left to
+// send to.
 func (g *Gateway) doubt(e *engine) {
 	if !e.suspect && e.faults > faultHigh+g.all.faults {
 		g.distrust(e, "faults")
