An attempt that ends while it connects is no fault of its node

Lines at fault: fleet/lines.go takeLines() called every failure to connect a refused connection, which the module takes for a dead process: the node is cold for its whole ramp. Now such an attempt is moot: never sent, nobody's fault. Also: a shared connection got an idle deadline that could hit the next attempt on it, and remembered given-up ids without bound; what stood twice in emberdispatch's exits is one function; what nothing used is gone. Test: TestWhatEndsWhileItConnectsIsNoFault (refused, and timed out, before).

--- a/cmd/emberdispatch/main.go
+++ b/cmd/emberdispatch/main.go
@@ -5,6 +5,7 @@
 	"context"
 	"errors"
 	"fmt"
+	"log/slog"
 	"os"
 	"os/signal"
 	"syscall"
@@ -93,11 +94,17 @@
 	err = d.Run(ctx)
 	cancel()
 	group.Wait()
-	var panicked *dispatch.PanicError
-	switch {
-	case second:
+	if second {
 		log.Warn("ended by a second signal; what was held has been failed")
 		return 3
+	}
+	return exitCode(log, err)
+}
+
+// exitCode tells how a dispatcher has ended, and logs it.
+func exitCode(log *slog.Logger, err error) int {
+	var panicked *dispatch.PanicError
+	switch {
 	case errors.As(err, &panicked):
 		log.Error(err.Error(), "stack", string(panicked.Stack))
 		return 1
--- a/cmd/emberdispatch/platform.go
+++ b/cmd/emberdispatch/platform.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"os"
@@ -12,7 +11,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"embershunt/config"
-	"embershunt/dispatch"
 	"embershunt/dispatcher"
 	"embershunt/internal/logs"
 )
@@ -21,9 +19,9 @@
 func runPlatform() int {
 	signals := make(chan os.Signal, 16)
 	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT, syscall.SIGHUP)
-	path, err := dispatcher.PlatformEnvironment()
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "emberdispatch:", err)
+	path := os.Getenv("NODE_CONFIG")
+	if path == "" {
+		fmt.Fprintln(os.Stderr, "emberdispatch: NODE_CONFIG: found nothing; allowed: the path of the platform's file")
 		return 2
 	}
 	cfg, err := config.LoadPlatform(path)
@@ -50,17 +48,7 @@
 	err = d.Run(ctx)
 	cancel()
 	group.Wait()
-	var panicked *dispatch.PanicError
-	switch {
-	case errors.As(err, &panicked):
-		log.Error(err.Error(), "stack", string(panicked.Stack))
-		return 1
-	case err != nil:
-		log.Error("ended", "error", err)
-		return 1
-	}
-	log.Info("drained")
-	return 0
+	return exitCode(log, err)
 }
 
 // heed carries out signals until ctx ends: SIGHUP takes the file anew, the others stop the dispatcher.
--- a/dispatcher/platform.go
+++ b/dispatcher/platform.go
@@ -2,11 +2,9 @@
 
 import (
 	"context"
-	"fmt"
 	"log/slog"
 	"math"
 	"net"
-	"os"
 	"runtime"
 	"runtime/debug"
 	"time"
@@ -27,7 +25,6 @@
 // Platform is a dispatcher on the platform's protocol. Every other front, listener, recording and store is off in it. Run it
 // once.
 type Platform struct {
-	cfg      *config.Platform
 	log      *slog.Logger
 	clock    dispatch.Clock
 	loop     *dispatch.Loop
@@ -73,7 +70,7 @@
 	if log == nil {
 		log = slog.New(slog.DiscardHandler)
 	}
-	p := &Platform{cfg: cfg, log: log.With("dispatcher", cfg.Name), clock: dispatch.NewClock(), drain: make(chan struct{}),
+	p := &Platform{log: log.With("dispatcher", cfg.Name), clock: dispatch.NewClock(), drain: make(chan struct{}),
 		tally: newTally(log)}
 	span := func(us choice.Micros) time.Duration { return time.Duration(us) * time.Microsecond }
 	nodes := int(float64(cfg.Sockets-ownSockets) * nodesPart)
@@ -178,11 +175,3 @@
 type toLoop struct{ *dispatch.Loop }
 
 func (l toLoop) Told(ev choice.Event) { l.Post(dispatch.Told{Event: ev}) }
-
-// PlatformEnvironment reads what the platform tells by the environment: the place of its file.
-func PlatformEnvironment() (path string, err error) {
-	if path = os.Getenv("NODE_CONFIG"); path == "" {
-		return "", fmt.Errorf("NODE_CONFIG: found nothing; allowed: the path of the platform's file")
-	}
-	return path, nil
-}
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -158,6 +158,8 @@
 		return choice.Failed, true
 	case errors.Is(err, errNotConnected), errors.Is(err, errUnknownNode), errors.Is(err, errOtherWork):
 		return choice.Refused, false
+	case errors.Is(err, errUnsent): // whatever ended it: it proves nothing of the node
+		return choice.Moot, false
 	case errors.Is(cause, errTimedOut) && t.unsent:
 		return choice.Refused, false
 	case errors.Is(cause, errTimedOut):
--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"net"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 	errNodeMoot   = errors.New("the node says that the request was over")
 	errNodeFailed = errors.New("the node answers with an error")
 	errNoRoom     = errors.New("every connection to the node is in full use")
+	errUnsent     = errors.New("over before anything was sent")
 )
 
 // linesPool is the connections to one node that speaks lines. As long as descriptors last each attempt has one of its own:
@@ -41,14 +43,13 @@
 	conn net.Conn
 	wmu  sync.Mutex // one command at a time
 
-	mu      sync.Mutex
-	open    map[string]*linesAttempt
-	given   []string // ids given up here, the latest ones: their answers may still come
-	dead    bool
-	deadErr error
+	mu    sync.Mutex
+	open  map[string]*linesAttempt
+	given []string // ids given up here: their answers may still come
+	dead  bool
 }
 
-// givenMost bounds the ids remembered as given up on a connection. One that gave up so many is closed when it is idle.
+// givenMost bounds the ids given up on a connection. One with so many takes no more attempts and is closed when it is idle.
 const givenMost = 32
 
 // takeLines finds a connection for an attempt: an idle one, a new one, or one in use where descriptors have run out.
@@ -68,7 +69,10 @@
 	conn, err := f.dialLines(dial, p.address)
 	if err != nil {
 		f.linesOpen.Add(-1)
-		if dial.Err() != nil && ctx.Err() == nil { // what does not come up has not been alive on older connections either
+		if ctx.Err() != nil { // the attempt is over: that tells nothing of the node
+			return nil, errUnsent
+		}
+		if dial.Err() != nil { // what does not come up has not been alive on older connections either
 			p.closeIdle()
 		}
 		return nil, errors.Join(errNotConnected, err)
@@ -183,26 +187,16 @@
 }
 
 func without(list []*linesConn, c *linesConn) []*linesConn {
-	for i, o := range list {
-		if o == c {
-			return append(list[:i], list[i+1:]...)
-		}
-	}
-	return list
+	return slices.DeleteFunc(list, func(o *linesConn) bool { return o == c })
 }
 
 // enter puts an attempt on a connection; false where it is dead or knows the id already.
 func (c *linesConn) enter(t *linesAttempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dead || c.open[t.call.ID] != nil {
+	if c.dead || c.open[t.call.ID] != nil || len(c.given) >= givenMost || slices.Contains(c.given, t.call.ID) {
 		return false
 	}
-	for _, id := range c.given {
-		if id == t.call.ID {
-			return false
-		}
-	}
 	c.open[t.call.ID] = t
 	c.conn.SetReadDeadline(time.Time{})
 	return true
@@ -224,29 +218,26 @@
 	}
 	idle := len(c.open) == 0 && !c.dead
 	worn := silent || len(c.given) >= givenMost
-	c.mu.Unlock()
-	if !idle {
-		return
+	if idle {
+		c.conn.SetReadDeadline(time.Now().Add(c.f.opt.LinesIdle))
 	}
-	if worn {
+	c.mu.Unlock()
+	if idle && (worn || !c.pool.keep(c)) {
 		c.close(net.ErrClosed)
-		return
 	}
-	c.conn.SetReadDeadline(time.Now().Add(c.f.opt.LinesIdle))
-	p := c.pool
+}
+
+// keep puts a connection with nothing open among the idle ones; false where the pool is closed.
+func (p *linesPool) keep(c *linesConn) bool {
 	p.mu.Lock()
-	keep := !p.closed && c.load() == 0
-	if keep {
-		if left := without(p.busy, c); len(left) < len(p.busy) {
-			p.busy = left
-			p.idle = append(p.idle, c)
-		}
+	defer p.mu.Unlock()
+	if c.load() > 0 { // shared with a new attempt meanwhile
+		return true
 	}
-	closed := p.closed
-	p.mu.Unlock()
-	if closed {
-		c.close(net.ErrClosed)
+	if left := without(p.busy, c); len(left) < len(p.busy) {
+		p.busy, p.idle = left, append(p.idle, c)
 	}
+	return !p.closed
 }
 
 // close ends a connection and all that is open on it.
@@ -256,7 +247,7 @@
 		c.mu.Unlock()
 		return
 	}
-	c.dead, c.deadErr = true, why
+	c.dead = true
 	open := make([]*linesAttempt, 0, len(c.open))
 	for _, t := range c.open { // each by itself: the order does not matter
 		open = append(open, t)
@@ -337,7 +328,7 @@
 		q.TTL = (int64(t.a.Until-t.f.clock.Now()) + 999) / 1000
 		if q.TTL <= 0 {
 			c.leave(t, false, false)
-			return nil, errNotConnected
+			return nil, errUnsent
 		}
 		if t.a.HasTerms {
 			q.MemoryMB, q.Priority = int64(t.a.MemoryMB), t.a.Priority
@@ -362,7 +353,7 @@
 		default:
 		}
 		if ctx.Err() != nil {
-			break
+			return nil, errUnsent
 		}
 	}
 	return nil, errNotConnected
--- a/fleet/lines_test.go
+++ b/fleet/lines_test.go
@@ -218,6 +218,29 @@
 	}
 }
 
+// A client that leaves while its attempt connects, or an attempt whose time is up then, tells nothing of the node: taken for a
+// refused connection it would make the node cold for its whole ramp.
+func TestWhatEndsWhileItConnectsIsNoFault(t *testing.T) {
+	for _, within := range []time.Duration{5 * time.Second, 20 * time.Millisecond} {
+		f := newLineFleet(t, Options{}, "127.0.0.1:1")
+		dialling := make(chan struct{})
+		f.dialLines = func(ctx context.Context, _ string) (net.Conn, error) {
+			close(dialling)
+			<-ctx.Done()
+			return nil, &net.OpError{Op: "dial", Err: ctx.Err()}
+		}
+		f.opt.ConnectTimeout = 5 * time.Second
+		f.send("id", 0, "n0", within)
+		<-dialling
+		if within == 5*time.Second {
+			f.Cancel("q-id", 0)
+		}
+		if end := f.end(); end.Code != choice.Moot {
+			t.Errorf("over within %v: code %d (%v), want %d", within, end.Code, end.Err, choice.Moot)
+		}
+	}
+}
+
 // Attempts share a connection only where there are no more, never beyond what the node takes, and never with their own id.
 func TestAttemptsShareConnectionsAtLast(t *testing.T) {
 	hold := make(chan struct{})
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -46,8 +46,7 @@
 		WritesTables  []bool        `json:"writesTables"`
 	} `json:"familyInfo"`
 	Feedback struct {
-		How    string   `json:"how"`
-		Fields []string `json:"fields"`
+		How string `json:"how"`
 	} `json:"feedback"`
 	Limits struct {
 		Cancelling      bool          `json:"cancelling"`
@@ -91,7 +90,6 @@
 // Sockets is what the settings tell those who speak over sockets; the module needs none of it.
 type Sockets struct {
 	Zones, Models  []string // names, in the order of the indexes
-	ReportFields   []string // of a load report
 	ConnectTimeout choice.Micros
 	ConnIdle       choice.Micros // connections idle for so long are closed
 	StreamsPerConn int           // attempts that one connection carries at once
@@ -104,7 +102,7 @@
 		return nil, Sockets{}, err
 	}
 	s, err := e.settings()
-	return s, Sockets{e.Zones, e.Models, e.Feedback.Fields, e.Limits.ConnectTimeout, e.Limits.ConnIdleUs,
+	return s, Sockets{e.Zones, e.Models, e.Limits.ConnectTimeout, e.Limits.ConnIdleUs,
 		e.Limits.StreamsPerConn}, err
 }
 
