A platform session has one state under one lock: close and command have one order

Seen on reading, and forced by tests over sockets whose reads are held back: a query that had been read but not handed over when its session was evicted or the front ended was closed without an answer (TestCloseAgainstAQuery: '.'), connections in the accept queue at the end of a drain were reset (TestLateComersAtTheEnd: connection reset by peer), a call-off that found every session busy was turned away (TestCallOffAtTheBound), one that came before its query had been read let the query be sent (TestCallOffBeforeItsQuery), and two commands sent at once ended the session with 08P01. Lines at fault: postgres.go evict() closed by a state read earlier; Serve() closed listener and sessions as soon as the loop had ended; session.go end() and take() closed over unread bytes; run() ended at r.Buffered() > 0. Ruled out: answers in two parts: an answer was one write already; the last word now has the writer's lock as well.

Now: the reader owns the connection's end, a worker answers commands in their order with a bounded read-ahead; a close half-closes, reads off within bounds of time and bytes, then closes. At the end the front refuses on until nothing has come for 200 ms. A session closed for silence is closed without a word: 57P05 promised nothing, and was read as the failure of a query that crossed it, which otherwise may be brought again.

--- a/dispatcher/platform.go
+++ b/dispatcher/platform.go
@@ -30,7 +30,7 @@
 	loop     *dispatch.Loop
 	fleet    *fleet.Fleet
 	front    *postgres.Front
-	listener net.Listener
+	listener *net.TCPListener
 	peers    *peers.Peers // nil: the settings allow none
 	resolver *resolver.Resolver
 	tally    *tally
@@ -100,9 +100,11 @@
 	if err := p.fleet.SetNodes(cfg.Known.Nodes); err != nil {
 		return nil, err
 	}
-	if p.listener, err = net.Listen("tcp", cfg.Listen); err != nil {
+	l, err := net.Listen("tcp", cfg.Listen)
+	if err != nil {
 		return nil, err
 	}
+	p.listener = l.(*net.TCPListener) // what Listen gives for "tcp"
 	return p, nil
 }
 
--- a/front/postgres/postgres.go
+++ b/front/postgres/postgres.go
@@ -28,6 +28,8 @@
 	Idle         time.Duration   // a session without a query for so long ends; default 30 s
 	Begin        time.Duration   // a connection has so long to bring its first query; default 2 s
 	Write        time.Duration   // an answer has so long to be taken; default 5 s
+	Quiet        time.Duration   // at the end, so long without a connection or a query; default 200 ms
+	Spare        int             // connections beyond MostSessions that are on their way out; default 8
 }
 
 // Front serves sessions.
@@ -39,10 +41,9 @@
 	mu       sync.Mutex
 	sessions map[uint32]*session // by the process number of their key
 	traces   map[string]struct{} // of open queries
-	closed   bool
-	answers  int           // queries whose answer has not been written
-	flushed  chan struct{} // closed when the front is closed and there are none
+	parted   chan struct{}       // closed at the end, when all sessions have been told to close
 
+	lastCame   atomic.Int64 // Unix nanoseconds: a connection or a query
 	turnedAway atomic.Int64 // connections closed because there were too many
 	unreadable atomic.Int64 // messages that could not be read or used
 }
@@ -64,83 +65,120 @@
 	if o.Write == 0 {
 		o.Write = 5 * time.Second
 	}
+	if o.Quiet == 0 {
+		o.Quiet = 200 * time.Millisecond
+	}
+	if o.Spare == 0 {
+		o.Spare = 8
+	}
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Front{opt: o, desk: d, sessions: map[uint32]*session{}, traces: map[string]struct{}{}, flushed: make(chan struct{})}
+	return &Front{opt: o, desk: d, sessions: map[uint32]*session{}, traces: map[string]struct{}{}, parted: make(chan struct{})}
 }
 
-// Counts tells how many sessions are open, how many were turned away for their number, and how many messages could not be
+// Counts tells how many sessions are open and do not close, how many were turned away for their number, and how many messages could not be
 // read or used.
 func (f *Front) Counts() (open int, turnedAway, unreadable int64) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	return len(f.sessions), f.turnedAway.Load(), f.unreadable.Load()
+	for _, s := range f.sessions {
+		if phase, _, _ := s.state(); phase != closing && !s.full {
+			open++
+		}
+	}
+	return open, f.turnedAway.Load(), f.unreadable.Load()
 }
 
 // acceptPause is how long accepting rests after an error such as a lack of descriptors.
 const acceptPause = 5 * time.Millisecond
 
-// Serve takes connections until ctx ends, which may only be after the loop has: then every query taken has its answer, which
-// is written before the connections are closed.
-func (f *Front) Serve(ctx context.Context, l net.Listener) error {
-	stop := context.AfterFunc(ctx, func() { l.Close() })
+// Listener is what connections come from, such as a *net.TCPListener.
+type Listener interface {
+	net.Listener
+	SetDeadline(time.Time) error
+}
+
+// quietMost is how many times Quiet the front goes on at the end, at most.
+const quietMost = 8
+
+// Serve takes connections until ctx ends, which may only be after the loop has: then every query taken has its answer, and
+// what comes is refused. It goes on with that until nothing has come for a while, so that nothing is left in a queue of the
+// system's; then every session closes, behind the answers it owes.
+func (f *Front) Serve(ctx context.Context, l Listener) error {
+	defer l.Close()
+	stop := context.AfterFunc(ctx, func() { l.SetDeadline(time.Now()) })
 	defer stop()
+	var over time.Time // when ctx was seen to have ended
 	for {
 		conn, err := l.Accept()
-		if ctx.Err() != nil {
-			if err == nil {
-				conn.Close()
-			}
+		if err == nil {
+			f.came()
+			f.take(conn)
+			continue
+		}
+		if errors.Is(err, net.ErrClosed) {
 			break
 		}
-		if err != nil {
-			if errors.Is(err, net.ErrClosed) {
-				break
-			}
-			f.opt.Log.Warn("a connection could not be taken", "error", err)
-			f.evict()
-			select {
-			case <-ctx.Done():
-			case <-time.After(acceptPause):
+		if ctx.Err() == nil {
+			if !isTimeout(err) {
+				f.opt.Log.Warn("a connection could not be taken", "error", err)
+				f.evict(true)
+				select {
+				case <-ctx.Done():
+				case <-time.After(acceptPause):
+				}
 			}
 			continue
 		}
-		f.take(conn)
+		if over.IsZero() {
+			over = time.Now()
+			f.came()
+		}
+		until := time.Unix(0, f.lastCame.Load()).Add(f.opt.Quiet)
+		if last := over.Add(quietMost * f.opt.Quiet); until.After(last) {
+			until = last
+		}
+		if !time.Now().Before(until) {
+			break
+		}
+		l.SetDeadline(until)
 	}
-	f.mu.Lock()
-	f.closed = true
-	f.flush()
-	f.mu.Unlock()
-	<-f.flushed
+	l.Close()
 	f.mu.Lock()
 	for _, s := range f.sessions { // each by itself: the order does not matter
-		s.conn.Close()
+		s.shut(true)
 	}
 	f.mu.Unlock()
+	close(f.parted)
 	return f.group.Wait()
 }
 
-// take starts a session, where there is room for it or room can be made.
+// came notes that a client has brought something.
+func (f *Front) came() { f.lastCame.Store(time.Now().UnixNano()) }
+
+// take starts a session. Where there is no room and none can be made it may call off another session's query, or is turned
+// away.
 func (f *Front) take(conn net.Conn) {
 	f.mu.Lock()
-	full := len(f.sessions) >= f.opt.MostSessions
-	f.mu.Unlock()
-	if full && !f.evict() {
-		f.turnedAway.Add(1)
-		conn.SetWriteDeadline(time.Now().Add(acceptPause))
-		conn.Write(pgwire.AppendError(nil, pgwire.Fatal, codeFull, "too many connections; nothing was read"))
-		conn.Close()
-		return
+	count := len(f.sessions)
+	if count >= f.opt.MostSessions {
+		for _, s := range f.sessions {
+			if phase, _, _ := s.state(); phase == closing || s.full {
+				count--
+			}
+		}
 	}
-	s := &session{f: f, conn: conn, begun: time.Now()}
-	s.last = s.begun
+	f.mu.Unlock()
+	full := count >= f.opt.MostSessions && !f.evict(false)
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed {
+	if len(f.sessions) >= f.opt.MostSessions+f.opt.Spare && !f.cut() {
+		f.turnedAway.Add(1)
 		conn.Close()
 		return
 	}
+	s := newSession(f, conn, full)
 	for {
 		s.key = pgwire.Key{Process: rand.Uint32N(1<<31-1) + 1, Secret: rand.Uint32()}
 		if _, taken := f.sessions[s.key.Process]; !taken {
@@ -151,6 +189,22 @@
 	f.group.Go(func() error { s.run(); return nil })
 }
 
+// cut closes the oldest connection that is on its way out already; false where there is none. f.mu is held.
+func (f *Front) cut() bool {
+	var oldest *session
+	for _, s := range f.sessions {
+		if phase, _, _ := s.state(); (phase == closing || s.full) && (oldest == nil || s.begun.Before(oldest.begun)) {
+			oldest = s
+		}
+	}
+	if oldest == nil {
+		return false
+	}
+	delete(f.sessions, oldest.key.Process)
+	oldest.conn.Close()
+	return true
+}
+
 // What makes a connection one of the first to go: clients close idle ones themselves after a while, and bring their first query
 // at once.
 const (
@@ -158,49 +212,52 @@
 	usualBegin = 500 * time.Millisecond
 )
 
-// evict closes one connection without an open query, the oldest of the first kind that there is: long idle, without a query
-// for longer than usual, idle, new; false where all have open queries. An idle client only has to connect again; a new one
-// may have a query on its way.
-func (f *Front) evict() bool {
+// evict has one connection without an open query close, the oldest of the first kind that there is: long idle, without a query
+// for longer than usual, idle, new, within a message; false where all have open queries. An idle client only has to connect
+// again; a new one may have a query on its way. With now, what is on its way out goes first, at once.
+func (f *Front) evict(now bool) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	var victim *session
-	var oldest time.Time
-	rank, now := 0, time.Now()
-	for _, s := range f.sessions {
-		last, asked, open := s.state()
-		if open || s.evicted {
-			continue
-		}
-		r, age := 1, now.Sub(last)
-		switch {
-		case asked && age > usualIdle:
-			r = 4
-		case !asked && age > usualBegin:
-			r = 3
-		case asked:
-			r = 2
+	if now && f.cut() {
+		return true
+	}
+	for {
+		var victim *session
+		var oldest time.Time
+		rank, at := 0, time.Now()
+		for _, s := range f.sessions {
+			phase, asked, last := s.state()
+			if phase == working || phase == closing || s.full {
+				continue
+			}
+			r, age := 1, at.Sub(last)
+			switch {
+			case phase == within:
+				r = 0
+			case asked && age > usualIdle:
+				r = 4
+			case !asked && age > usualBegin:
+				r = 3
+			case asked:
+				r = 2
+			}
+			if victim == nil || r > rank || r == rank && last.Before(oldest) {
+				victim, rank, oldest = s, r, last
+			}
 		}
-		if victim == nil || r > rank || r == rank && last.Before(oldest) {
-			victim, rank, oldest = s, r, last
+		if victim == nil || victim.shut(rank == 0) {
+			return victim != nil
 		}
 	}
-	if victim == nil {
-		return false
-	}
-	victim.evicted = true
-	delete(f.sessions, victim.key.Process)
-	victim.conn.Close()
-	return true
 }
 
-// cancel calls off the open query of the session that a key names.
+// cancel calls off what the session that a key names has asked for.
 func (f *Front) cancel(k pgwire.Key) {
 	f.mu.Lock()
 	s := f.sessions[k.Process]
 	f.mu.Unlock()
 	if s != nil && s.key == k {
-		s.leave()
+		s.cancel()
 	}
 }
 
@@ -212,45 +269,18 @@
 	}
 }
 
-// Errors of open.
-var (
-	errOpen   = errors.New("the id is open already; allowed is a new one for each request")
-	errClosed = errors.New("the dispatcher has stopped")
-)
-
-// open books a query by its id; every one that is open is ended by shut and written.
-func (f *Front) open(trace string) error {
+// open books a query by its id; false where that is open already.
+func (f *Front) open(trace string) bool {
 	f.mu.Lock()
 	defer f.mu.Unlock()
-	if f.closed {
-		return errClosed
-	}
-	if _, is := f.traces[trace]; is {
-		return errOpen
-	}
+	_, is := f.traces[trace]
 	f.traces[trace] = struct{}{}
-	f.answers++
-	return nil
+	return !is
 }
 
-// shut lets an id go: it is not open any more when the client reads the answer.
+// shut lets an id go.
 func (f *Front) shut(trace string) {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	delete(f.traces, trace)
 }
-
-// written tells that the answer of an open query has been written, or cannot be.
-func (f *Front) written() {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.answers--
-	f.flush()
-}
-
-// flush tells that nothing is left to write, where the front is closed; f.mu is held.
-func (f *Front) flush() {
-	if f.closed && f.answers == 0 {
-		close(f.flushed)
-	}
-}
--- a/front/postgres/session.go
+++ b/front/postgres/session.go
@@ -4,6 +4,7 @@
 	"bufio"
 	"errors"
 	"fmt"
+	"io"
 	"net"
 	"strings"
 	"sync"
@@ -24,7 +25,6 @@
 	codeDraining  = "57P03"
 	codeCancelled = "57014"
 	codeStopped   = "57P01"
-	codeIdle      = "57P05"
 	codeProtocol  = "08P01"
 	codeBadField  = "22023"
 	codeOpen      = "55006"
@@ -35,26 +35,71 @@
 	codeUnknown   = "0A000"
 )
 
-// session is one client connection.
+// phase is where a session stands. It changes under session.mu alone, so that a command and a close that cross each other
+// have one order: a command is taken whole, or nothing of it is.
+type phase uint8
+
+const (
+	starting phase = iota // no command has come yet
+	idle                  // nothing is owed
+	within                // a message has begun and is not whole: starting or idle, as others see it
+	working               // commands have been taken whose answers are not written; a worker runs
+	closing               // takes no command any more: what came before the close is refused, what comes after it dropped
+)
+
+// session is one client connection. Its reader owns the connection's end; the worker writes answers, one after the other.
 type session struct {
-	f       *Front
-	conn    net.Conn
-	key     pgwire.Key
-	begun   time.Time
-	evicted bool // under Front.mu
-
-	mu    sync.Mutex
-	last  time.Time // of the last query or answer
-	asked bool      // it has brought a query
-	query *front.Asked
-	ended bool // the connection is of no further use
-	bad   int  // messages in a row that could not be used
+	f     *Front
+	conn  net.Conn
+	key   pgwire.Key
+	begun time.Time
+	full  bool // there was no room for it: it may call off another session's query, and is turned away
+	left  chan struct{}
+
+	mu        sync.Mutex
+	phase     phase
+	reading   bool      // a message has begun and is not whole
+	last      time.Time // of the last command or answer
+	asked     bool      // it has brought a query
+	parting   bool      // closes as soon as nothing is owed
+	gone      bool      // the client is; left is closed
+	cancelled time.Time // when its client called off and nothing was open
+	commands  []command // read ahead
+	size      int       // bytes of those
+	room      sync.Cond // signalled when commands get fewer
+	query     *front.Asked
+	bad       int // commands in a row that could not be used
+
+	wmu  sync.Mutex
+	over bool // the last word has been written
+}
+
+// command is a query that has been read whole and has no answer yet.
+type command struct {
+	text string
+	at   time.Time // its last byte was there
 }
 
-func (s *session) state() (last time.Time, asked, open bool) {
+// Bounds of what is read ahead on one session; beyond them its socket holds the rest.
+const (
+	aheadMost  = 128
+	aheadBytes = 32 << 10
+)
+
+func newSession(f *Front, conn net.Conn, full bool) *session {
+	s := &session{f: f, conn: conn, begun: time.Now(), full: full, left: make(chan struct{})}
+	s.last, s.room.L = s.begun, &s.mu
+	return s
+}
+
+// state tells where a session stands, whether it has brought a query, and when the last one or its answer came.
+func (s *session) state() (p phase, asked bool, last time.Time) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	return s.last, s.asked, s.query != nil
+	if p = s.phase; s.reading && (p == starting || p == idle) {
+		p = within
+	}
+	return p, s.asked, s.last
 }
 
 // readBuffer is small: a query is read in one or two pieces, and most connections are idle most of the time.
@@ -65,54 +110,52 @@
 	defer s.conn.Close()
 	defer s.leave()
 	r := bufio.NewReaderSize(s.conn, readBuffer)
-	s.conn.SetReadDeadline(s.begun.Add(s.f.opt.Begin))
+	s.await()
 	if !s.start(r) {
 		return
 	}
 	var buf []byte
 	for {
-		s.rest()
+		s.await()
 		if _, err := r.Peek(1); err != nil {
-			s.mu.Lock()
-			idle := s.query == nil && isTimeout(err)
-			s.mu.Unlock()
-			if idle {
-				s.end(codeIdle, "closed: no query came")
+			if !isTimeout(err) {
+				return
 			}
-			return
-		}
-		if _, _, open := s.state(); open {
-			if kind, err := r.Peek(1); err == nil && kind[0] == pgwire.Terminate {
+			if s.rested() {
+				s.part(r)
 				return
 			}
-			s.f.unreadable.Add(1)
-			s.end(codeProtocol, "a message came while a query was open; allowed is one query at a time")
+			continue
+		}
+		if !s.begin(time.Now()) {
+			s.part(r)
 			return
 		}
-		s.conn.SetReadDeadline(time.Now().Add(s.f.opt.Begin))
 		kind, body, err := pgwire.ReadMessage(r, buf, s.f.opt.MaxStatement)
 		if buf = body; cap(buf) > 4*readBuffer { // a long statement's room is not kept
 			buf = nil
 		}
 		if err != nil {
-			s.unread(err)
+			s.unread(r, err)
 			return
 		}
 		switch kind {
 		case pgwire.Query:
-			if r.Buffered() > 0 { // nobody who keeps to one query at a time has sent more by now
-				s.f.unreadable.Add(1)
-				s.end(codeProtocol, "more came behind a query; allowed is one query at a time")
+			text, err := pgwire.Statement(body)
+			if err != nil {
+				s.unread(r, err)
 				return
 			}
-			if !s.take(body, time.Now()) {
+			if !s.take(command{text, time.Now()}) { // it was closed meanwhile
+				s.refuse(codeDraining, "the dispatcher closes this session; nothing was run")
+				s.part(r)
 				return
 			}
 		case pgwire.Terminate:
 			return
 		default:
 			s.f.unreadable.Add(1)
-			s.end(codeUnknown, fmt.Sprintf("message type %q; allowed are simple queries", kind))
+			s.end(r, codeUnknown, fmt.Sprintf("message type %q; allowed are simple queries", kind))
 			return
 		}
 	}
@@ -121,111 +164,299 @@
 // start reads the first message; false where no session follows.
 func (s *session) start(r *bufio.Reader) bool {
 	for range 3 {
+		_, err := r.Peek(1)
+		if isTimeout(err) && s.full {
+			s.turnAway(r)
+			return false
+		}
+		if isTimeout(err) && s.rested() || err == nil && !s.begin(s.begun) { // a first query on its way may be brought elsewhere
+			s.part(r)
+			return false
+		}
 		m, err := pgwire.ReadStart(r)
 		if err != nil {
-			s.unread(err)
+			s.unread(r, err)
 			return false
 		}
-		switch m.Kind {
-		case pgwire.StartCancel:
+		switch {
+		case m.Kind == pgwire.StartCancel:
 			s.f.cancel(m.Key)
 			return false
-		case pgwire.StartTLS:
-			s.write([]byte{'N'})
+		case m.Kind == pgwire.StartTLS:
+			s.say([]byte{'N'}, false)
 			continue
+		case s.full:
+			s.turnAway(r)
+			return false
 		}
-		return s.write(pgwire.AppendWelcome(make([]byte, 0, 256), s.key))
+		return s.say(pgwire.AppendWelcome(make([]byte, 0, 256), s.key), false)
 	}
-	s.end(codeProtocol, "encryption was asked for again; there is none")
+	s.end(r, codeProtocol, "encryption was asked for again; there is none")
 	return false
 }
 
-// rest sets until when the next message is waited for.
-func (s *session) rest() {
+func (s *session) turnAway(r *bufio.Reader) {
+	s.f.turnedAway.Add(1)
+	s.end(r, codeFull, "too many connections; nothing was read")
+}
+
+// await sets until when the next message may begin.
+func (s *session) await() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	s.reading = false
+	s.conn.SetReadDeadline(s.until())
+}
+
+// until is when a connection on which no message has begun has waited enough; s.mu is held.
+func (s *session) until() time.Time {
 	switch {
-	case s.query != nil: // its own deadline counts
-		s.conn.SetReadDeadline(time.Time{})
+	case s.phase == closing:
+		return time.Now().Add(sweep)
+	case s.phase == working: // its queries' own deadlines count
+		return time.Time{}
+	case s.full:
+		return s.begun.Add(usualBegin)
 	case !s.asked:
-		s.conn.SetReadDeadline(s.begun.Add(s.f.opt.Begin))
-	default:
-		s.conn.SetReadDeadline(time.Now().Add(s.f.opt.Idle))
+		return s.begun.Add(s.f.opt.Begin)
+	}
+	return s.last.Add(s.f.opt.Idle)
+}
+
+// rested begins the close of a session whose wait for a message is over; false where a command or an answer came first.
+func (s *session) rested() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase != closing && (s.phase == working || time.Now().Before(s.until())) {
+		return false
+	}
+	s.phase = closing
+	return true
+}
+
+// begin tells that a message has begun, which has its time from a moment on to become whole; false where the session closes.
+func (s *session) begin(from time.Time) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.phase == closing {
+		return false
+	}
+	s.reading = true
+	s.conn.SetReadDeadline(from.Add(s.f.opt.Begin))
+	return true
+}
+
+// take takes a command; false where the session closes. It waits while too much has been read ahead.
+func (s *session) take(c command) bool {
+	s.f.came()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for len(s.commands) >= aheadMost || len(s.commands) > 0 && s.size+len(c.text) > aheadBytes {
+		s.room.Wait()
+	}
+	if s.phase == closing {
+		return false
+	}
+	s.commands, s.size = append(s.commands, c), s.size+len(c.text)
+	if s.phase != working {
+		s.phase = working
+		s.f.group.Go(func() error { s.work(); return nil })
+	}
+	return true
+}
+
+// work answers commands in their order, until there are none.
+func (s *session) work() {
+	for {
+		s.mu.Lock()
+		if len(s.commands) == 0 {
+			s.phase, s.last, s.query, s.commands = idle, time.Now(), nil, nil
+			if s.parting {
+				s.phase = closing
+			}
+			if !s.reading {
+				s.conn.SetReadDeadline(s.until())
+			}
+			s.mu.Unlock()
+			return
+		}
+		c := s.commands[0]
+		s.commands, s.size = s.commands[1:], s.size-len(c.text)
+		s.room.Signal()
+		s.mu.Unlock()
+		if !s.answer(c) {
+			s.leave()
+			s.conn.Close() // the reader sees it, and ends
+		}
+	}
+}
+
+// shut begins the close of a session that owes nothing; one that owes answers closes behind them where parting is set. It
+// tells whether it closes now.
+func (s *session) shut(parting bool) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.parting = s.parting || parting
+	if s.phase == working || s.phase == closing || s.reading && !parting {
+		return false
+	}
+	s.phase = closing
+	if !s.reading { // else the message that has begun is read to its end, and refused
+		s.conn.SetReadDeadline(s.until())
+	}
+	return true
+}
+
+// How a session ends: what had come before it closed is looked for during sweep; after the last word what still comes is
+// read off, since a close over unread bytes would take that word back.
+const (
+	sweep       = time.Millisecond
+	lingerFor   = 250 * time.Millisecond // several times what a request may cross a close by
+	lingerBytes = 256 << 10
+)
+
+// part ends a session that owes nothing. Queries that had come before are refused: nothing runs for them.
+func (s *session) part(r *bufio.Reader) {
+	for !s.full {
+		s.conn.SetReadDeadline(time.Now().Add(sweep))
+		if _, err := r.Peek(1); err != nil {
+			break
+		}
+		s.conn.SetReadDeadline(time.Now().Add(s.f.opt.Begin))
+		kind, _, err := pgwire.ReadMessage(r, nil, s.f.opt.MaxStatement)
+		if err != nil || kind != pgwire.Query {
+			break
+		}
+		s.refuse(codeDraining, "the dispatcher closes this session; nothing was run")
 	}
+	s.linger(r)
+}
+
+func (s *session) refuse(code, words string) {
+	s.say(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error, code, words)), false)
+}
+
+// linger ends the sending side and reads off what comes, within bounds.
+func (s *session) linger(r *bufio.Reader) {
+	s.mu.Lock()
+	s.phase = closing
+	s.mu.Unlock()
+	half, ok := s.conn.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	s.conn.SetReadDeadline(time.Now().Add(lingerFor))
+	io.CopyN(io.Discard, r, lingerBytes)
 }
 
 // unread answers what could not be read; nothing after it can be read either.
-func (s *session) unread(err error) {
+func (s *session) unread(r *bufio.Reader, err error) {
 	var form *pgwire.FormatError
 	switch {
 	case errors.As(err, &form):
 		s.f.unreadable.Add(1)
-		s.end(codeProtocol, form.What)
+		s.end(r, codeProtocol, form.What)
 	case errors.Is(err, pgwire.ErrTooLong):
 		s.f.unreadable.Add(1)
-		s.end(codeTooLong, fmt.Sprintf("message too long; allowed are %d bytes", s.f.opt.MaxStatement))
+		s.end(r, codeTooLong, fmt.Sprintf("message too long; allowed are %d bytes", s.f.opt.MaxStatement))
 	case isTimeout(err):
-		s.end(codeProtocol, "no whole message came in time")
+		s.end(r, codeProtocol, "no whole message came in time")
 	}
 }
 
-// end gives the session's last word and closes it.
-func (s *session) end(code, words string) {
+// end gives the session's last word and closes it; what it had asked for is called off.
+func (s *session) end(r *bufio.Reader, code, words string) {
 	s.leave()
+	s.say(pgwire.AppendError(nil, pgwire.Fatal, code, words), true)
+	s.linger(r)
+}
+
+// leave tells that the client is gone: nothing it asked for is of use any more.
+func (s *session) leave() {
 	s.mu.Lock()
-	s.ended = true
+	if !s.gone {
+		s.gone = true
+		close(s.left)
+	}
+	s.commands, s.size = nil, 0
+	s.room.Signal()
+	q := s.query
 	s.mu.Unlock()
-	s.write(pgwire.AppendError(nil, pgwire.Fatal, code, words))
-	s.conn.Close()
+	if q != nil {
+		q.Leave()
+	}
 }
 
-// take hands a query over, or answers what cannot be used; false ends the session.
-func (s *session) take(body []byte, at time.Time) bool {
-	statement, err := pgwire.Statement(body)
-	if err != nil {
-		s.unread(err)
-		return false
+// crossing is how long after a call-off a query may be read that it was meant for: clients close the session then.
+const crossing = 500 * time.Millisecond
+
+// cancel calls off what the session has asked for. The session goes on.
+func (s *session) cancel() {
+	s.mu.Lock()
+	q := s.query
+	if q == nil && len(s.commands) == 0 {
+		s.cancelled = time.Now()
 	}
-	if strings.Trim(statement, " \t\r\n;") == "" {
+	for i := range s.commands { // read before the word came
+		s.commands[i].at = time.Time{}
+	}
+	s.mu.Unlock()
+	if q != nil {
+		q.Leave()
+	}
+}
+
+// answer gives a command its one answer; false where it cannot be written.
+func (s *session) answer(c command) bool {
+	if strings.Trim(c.text, " \t\r\n;") == "" {
 		s.used()
-		return s.write(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
+		return s.say(pgwire.AppendReady(pgwire.AppendEmpty(nil)), false)
 	}
-	a, err := read(statement, &s.f.opt.Settings)
+	a, err := read(c.text, &s.f.opt.Settings)
 	if err != nil {
 		return s.wrong(codeBadField, err.Error())
 	}
-	switch err := s.f.open(a.trace); err {
-	case nil:
-	case errClosed:
-		s.end(codeDraining, err.Error())
-		return false
-	default:
-		return s.wrong(codeOpen, fmt.Sprintf("trace %s: %v", a.trace, err))
+	left := a.patience - time.Since(c.at)
+	if c.at.IsZero() || left <= 0 { // called off, or its time was up before its turn: nothing was sent
+		return s.say(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error, codeOverload, "over before its turn; nothing was run")), false)
+	}
+	if !s.f.open(a.trace) {
+		return s.wrong(codeOpen, fmt.Sprintf("trace %s: the id is open already; allowed is a new one for each request", a.trace))
 	}
-	s.used()
 	work := &lineproto.Request{ID: a.trace, Class: s.f.opt.Settings.Classes[a.class].Name, Text: a.text, Priority: -1}
 	if s.f.opt.Settings.Classes[a.class].Effect == choice.Keyed {
 		work.Key = a.nonce
 	}
-	s.mu.Lock()
-	query, err := s.f.desk.Begin(front.Call{Traits: a.traits(), Speaks: nodelist.Lines, Left: max(a.patience-time.Since(at), time.Microsecond), Work: work})
-	if s.query = query; err == nil {
-		s.bad = 0
-	}
-	s.mu.Unlock()
+	query, err := s.ask(front.Call{Traits: a.traits(), Speaks: nodelist.Lines, Left: left, Work: work})
 	if err != nil {
 		s.f.shut(a.trace)
-		s.f.written()
 		return s.wrong(codeBadField, err.Error())
 	}
-	s.f.group.Go(func() error {
-		v := <-query.Done
-		s.f.shut(a.trace)
-		s.answer(v)
-		s.f.written()
-		return nil
-	})
-	return true
+	v := dispatch.Verdict{Final: dispatch.Failed, Reason: dispatch.ReasonGone}
+	if query != nil {
+		v = <-query.Done
+	}
+	s.f.shut(a.trace) // not open any more when the client reads the answer
+	s.mu.Lock()
+	s.query = nil
+	s.mu.Unlock()
+	return s.say(encode(v), false)
+}
+
+// ask hands a query over, unless its client has gone or called it off; nil then.
+func (s *session) ask(c front.Call) (*front.Asked, error) {
+	s.used()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	crossed := !s.cancelled.IsZero() && time.Since(s.cancelled) < crossing
+	if s.cancelled = (time.Time{}); s.gone || crossed {
+		return nil, nil
+	}
+	q, err := s.f.desk.Begin(c)
+	if s.query = q; err == nil {
+		s.bad = 0
+	}
+	return q, err
 }
 
 func (s *session) used() {
@@ -248,37 +479,26 @@
 	s.bad++
 	bad := s.bad
 	s.mu.Unlock()
-	if !s.write(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error, code, words))) {
+	if !s.say(pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error, code, words)), false) {
 		return false
 	}
-	time.Sleep(min(wrongPause<<min(bad-1, 10), wrongMost))
-	return true
-}
-
-// leave tells that the client is gone, where a query is open.
-func (s *session) leave() {
-	s.mu.Lock()
-	q := s.query
-	s.mu.Unlock()
-	if q != nil {
-		q.Leave()
+	t := time.NewTimer(min(wrongPause<<min(bad-1, 10), wrongMost))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.left:
 	}
+	return true
 }
 
-// answer writes the final answer.
-func (s *session) answer(v dispatch.Verdict) {
-	b := encode(v)
-	s.mu.Lock()
-	s.query, s.last = nil, time.Now()
-	ended := s.ended
-	s.conn.SetReadDeadline(s.last.Add(s.f.opt.Idle))
-	s.mu.Unlock()
-	if !ended && !s.write(b) {
-		s.conn.Close()
+// say writes whole messages, and nothing after the last word; false where they could not be written.
+func (s *session) say(b []byte, last bool) bool {
+	s.wmu.Lock()
+	defer s.wmu.Unlock()
+	if s.over {
+		return true
 	}
-}
-
-func (s *session) write(b []byte) bool {
+	s.over = last
 	s.conn.SetWriteDeadline(time.Now().Add(s.f.opt.Write))
 	_, err := s.conn.Write(b)
 	return err == nil
