Nothing begins late at a node, and a silent flow to the name service is left

Seen on reading and forced by tests (injected dialer, a write held back): a request was written although its node had begun to drain or had gone while the connection came up or while a command before it was written; where the client had left meanwhile the attempt counted as one that may have run (code 6), which an unsafe query is never repeated after. TestNothingBeginsLate failed in nine of its ten cases against the code before, TestEverySocketIsCounted hung (a probe dialled outside of the budget) and TestListsGoForward ended with 'not told of eleven'. Lines at fault: fleet/lines.go try() looked at the time only, before it waited for its turn to write; linesProbe() dialled by itself; read() gave a descriptor back only when its goroutine ran again; resolver.go asked on one socket for good. Ruled out: the module, which is told of a drain at once and sends nothing more: what it had sent before was on its way. Now all is looked at under the connection's write lock, and such an attempt is moot: it never ran.

--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -89,7 +89,6 @@
 	p.mu.Unlock()
 	if !f.spawn(c.read) {
 		c.close(net.ErrClosed)
-		f.linesOpen.Add(-1)
 		return nil, errNotConnected
 	}
 	return c, nil
@@ -254,6 +253,7 @@
 	}
 	c.mu.Unlock()
 	c.conn.Close()
+	c.f.linesOpen.Add(-1)
 	c.pool.remove(c)
 	for _, t := range open {
 		t.end(why)
@@ -262,7 +262,6 @@
 
 // read takes what the node sends until the connection ends.
 func (c *linesConn) read() {
-	defer c.f.linesOpen.Add(-1)
 	r := lineproto.NewReader(c.conn)
 	for {
 		a, err := r.Read()
@@ -289,6 +288,11 @@
 func (c *linesConn) write(b []byte) (int, error) {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
+	return c.put(b)
+}
+
+// put writes one command; c.wmu is held.
+func (c *linesConn) put(b []byte) (int, error) {
 	c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
 	return c.conn.Write(b)
 }
@@ -324,20 +328,14 @@
 		if failed != nil {
 			return nil, failed
 		}
-		q := *t.call
-		q.TTL = (int64(t.a.Until-t.f.clock.Now()) + 999) / 1000
-		if q.TTL <= 0 {
-			c.leave(t, false, false)
-			return nil, errUnsent
-		}
-		if t.a.HasTerms {
-			q.MemoryMB, q.Priority = int64(t.a.MemoryMB), t.a.Priority
-		}
 		t.mu.Lock()
 		t.conn = c
 		t.mu.Unlock()
-		written, failed := c.write(q.Append(make([]byte, 0, len(q.Text)+200)))
-		t.unsent = written == 0
+		written, failed := t.begin(ctx, n, c)
+		if t.unsent = written == 0; errors.Is(failed, errUnsent) { // the connection is as good as before
+			c.leave(t, false, false)
+			return nil, failed
+		}
 		if failed != nil {
 			c.close(failed)
 		}
@@ -359,6 +357,22 @@
 	return nil, errNotConnected
 }
 
+// begin writes the request, unless it must not begin any more: a connection may have taken long to come up, or a command before
+// it long to be written. Meanwhile the client may have left, the time run out, the node begun to drain, or gone from its address.
+func (t *linesAttempt) begin(ctx context.Context, n *node, c *linesConn) (written int, err error) {
+	c.wmu.Lock()
+	defer c.wmu.Unlock()
+	q := *t.call
+	q.TTL = (int64(t.a.Until-t.f.clock.Now()) + 999) / 1000
+	if ctx.Err() != nil || q.TTL <= 0 || !n.takes() {
+		return 0, errUnsent
+	}
+	if t.a.HasTerms {
+		q.MemoryMB, q.Priority = int64(t.a.MemoryMB), t.a.Priority
+	}
+	return c.put(q.Append(make([]byte, 0, len(q.Text)+200)))
+}
+
 // wait gathers the answer.
 func (t *linesAttempt) wait(ctx context.Context, c *linesConn) (any, error) {
 	asked := false
@@ -557,7 +571,11 @@
 func (n *node) linesProbe(ctx context.Context, f *Fleet) choice.Code {
 	ctx, cancel := context.WithTimeout(ctx, f.opt.ConnectTimeout)
 	defer cancel()
-	conn, err := dialTCP(ctx, n.lines.address)
+	if !f.reserveLines() { // a probe holds a descriptor like any attempt
+		return choice.Moot
+	}
+	defer f.linesOpen.Add(-1)
+	conn, err := f.dialLines(ctx, n.lines.address)
 	if err != nil {
 		return choice.Refused
 	}
--- a/fleet/lines_test.go
+++ b/fleet/lines_test.go
@@ -241,6 +241,128 @@
 	}
 }
 
+// What happened while a connection came up, or while a command before it was written, counts when the request is to be written: then
+// it must not begin, and that it never ran is known.
+func TestNothingBeginsLate(t *testing.T) {
+	type crossing struct {
+		f    *lineFleet
+		rows []nodelist.Node
+	}
+	for name, cross := range map[string]func(c *crossing){
+		"the client left":  func(c *crossing) { c.f.Cancel("q-id", 0) },
+		"the node drains":  func(c *crossing) { c.rows[0].State = choice.Draining; c.f.SetNodes(c.rows) },
+		"the node is gone": func(c *crossing) { c.f.SetNodes(nil) },
+		"another node has its address": func(c *crossing) {
+			c.rows[0].ID = "other"
+			c.f.SetNodes(c.rows)
+		},
+		"the time is up": func(c *crossing) {
+			for c.f.clock.Now() < c.f.attempt("q-id", 0).a.Until {
+				time.Sleep(time.Millisecond)
+			}
+		},
+	} {
+		for _, held := range []string{"connecting", "behind another command"} {
+			t.Run(name+", "+held, func(t *testing.T) {
+				node, err := standin.NewLineNode("", func(conn net.Conn, cmd standin.LineCommand) {
+					if cmd.Verb == "GET" && cmd.ID != "before" {
+						fmt.Fprint(conn, standin.LineAnswer(cmd.ID, "data", "total=1", "a\tb\tc\n"))
+					}
+				})
+				if err != nil {
+					t.Fatal(err)
+				}
+				defer node.Close()
+				f := newLineFleet(t, Options{LinesMost: 1}, node.Address())
+				c := &crossing{f, []nodelist.Node{{ID: "n0", Lines: node.Address()}}}
+				arrived, release := make(chan struct{}), func() {}
+				within := 3 * time.Second
+				if name == "the time is up" {
+					within = 50 * time.Millisecond
+				}
+				if held == "connecting" {
+					barrier := make(chan struct{})
+					release = func() { close(barrier) }
+					f.dialLines = func(_ context.Context, address string) (net.Conn, error) { // up in the very moment it is not wanted
+						conn, err := dialTCP(context.Background(), address)
+						close(arrived)
+						<-barrier
+						return conn, err
+					}
+					f.send("id", 0, "n0", within)
+					<-arrived
+				} else {
+					f.send("before", 0, "n0", 5*time.Second)
+					for len(node.Commands()) == 0 {
+						time.Sleep(time.Millisecond)
+					}
+					shared := f.attempt("q-before", 0).carrier.(*linesAttempt).conn
+					shared.wmu.Lock()
+					release = shared.wmu.Unlock
+					f.send("id", 0, "n0", within)
+					for shared.load() < 2 {
+						time.Sleep(time.Millisecond)
+					}
+				}
+				cross(c)
+				release()
+				end := f.end()
+				for end.ID == "q-before" { // ends with its node
+					end = f.end()
+				}
+				if end.Code != choice.Moot {
+					t.Errorf("code %d (%v), want %d", end.Code, end.Err, choice.Moot)
+				}
+				for _, cmd := range node.Commands() {
+					if cmd.ID == "id" {
+						t.Errorf("the node got %+v", cmd)
+					}
+				}
+			})
+		}
+	}
+}
+
+// Probes count among the connections held, and a connection that was closed makes room at once.
+func TestEverySocketIsCounted(t *testing.T) {
+	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		if cmd.Verb == "GET" {
+			fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=1", "a\tb\tc\n"))
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	other, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=1", "a\tb\tc\n"))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	f := newLineFleet(t, Options{LinesMost: 1}, node.Address(), other.Address())
+	dialled := make(chan int64, 1)
+	f.dialLines = func(ctx context.Context, address string) (net.Conn, error) {
+		dialled <- f.LinesOpen()
+		return dialTCP(ctx, address)
+	}
+	f.Probe("n0")
+	if n := <-dialled; n != 1 {
+		t.Errorf("%d connections counted while a probe connects, want 1", n)
+	}
+	for f.LinesOpen() > 0 {
+		time.Sleep(time.Millisecond)
+	}
+	for i := range 20 { // each has to take the other node's idle connection
+		f.send(fmt.Sprintf("r%d", i), 0, fmt.Sprintf("n%d", i%2), time.Second)
+		if end := f.end(); end.Code != choice.OK {
+			t.Fatalf("attempt %d: code %d (%v)", i, end.Code, end.Err)
+		}
+		<-dialled
+	}
+}
+
 // Attempts share a connection only where there are no more, never beyond what the node takes, and never with their own id.
 func TestAttemptsShareConnectionsAtLast(t *testing.T) {
 	hold := make(chan struct{})
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -29,6 +29,7 @@
 	for _, id := range slices.Sorted(maps.Keys(f.nodes)) {
 		if n := f.nodes[id]; !listed[id] {
 			n.gone = true
+			n.shut.Store(true)
 			f.drains.notice(id, true)
 			if n.users == 0 {
 				idle = append(idle, n)
@@ -65,16 +66,20 @@
 	}
 	if n != nil && n.address == row.Address && n.native == row.Native && n.lines.address == row.Lines {
 		n.gone, n.started, n.startedAt = false, row.Started, at
+		n.shut.Store(row.State != choice.Healthy)
 		return at
 	}
 	if n != nil { // attempts that are out keep the old connection until they end
 		n.gone = true
+		n.shut.Store(true)
 		if n.users == 0 {
 			n.close()
 		}
 	}
-	f.nodes[row.ID] = &node{id: row.ID, address: row.Address, native: row.Native, started: row.Started, startedAt: at,
+	n = &node{id: row.ID, address: row.Address, native: row.Native, started: row.Started, startedAt: at,
 		lines: linesPool{address: row.Lines}}
+	n.shut.Store(row.State != choice.Healthy)
+	f.nodes[row.ID] = n
 	return at
 }
 
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -25,6 +25,7 @@
 	users       int           // calls that hold it; under Fleet.mu
 	gone        bool          // left the list, or moved to another address; under Fleet.mu
 
+	shut     atomic.Bool  // drains, or has gone: nothing may begin there any more
 	revision atomic.Int64 // newest of the native protocol that it speaks; 0: not known yet
 
 	mu     sync.Mutex
@@ -61,6 +62,9 @@
 	return conn, nil
 }
 
+// takes tells whether work may begin there, as far as is known now.
+func (n *node) takes() bool { return !n.shut.Load() }
+
 // ready waits until the connection is up, at most for the connect time-out. What fails here was never sent.
 func (n *node) ready(ctx context.Context, o *Options) (*grpc.ClientConn, error) {
 	if n.address == "" {
--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -34,6 +34,10 @@
 
 var errTooLong = errors.New("resolver: the answer is longer than an answer may be")
 
+// unansweredMost is how many questions in a row may go without a usable answer before they are asked from another socket: one
+// flow alone may have fallen silent.
+const unansweredMost = 3
+
 // idsKept is how many questions may be open: answers come late.
 const idsKept = 8
 
@@ -95,10 +99,10 @@
 	return r.conn, err
 }
 
-// ask asks on one socket until it is closed.
+// ask asks on one socket until it is closed, or brings no answers.
 func (r *Resolver) ask(ctx context.Context, conn net.Conn) {
 	buf := make([]byte, nodelist.AnswerMost+1)
-	for ctx.Err() == nil {
+	for unanswered := 0; ctx.Err() == nil && unanswered < unansweredMost; unanswered++ {
 		id := uint16(rand.Uint32())
 		if r.ids = append(r.ids, id); len(r.ids) > idsKept {
 			r.ids = r.ids[1:]
@@ -119,7 +123,9 @@
 				return
 			}
 			if err == nil {
-				r.take(buf[:n])
+				if r.take(buf[:n]) {
+					unanswered = -1
+				}
 				continue
 			}
 			if time.Now().Before(next) { // nobody listens there, for now
@@ -134,20 +140,22 @@
 	}
 }
 
-func (r *Resolver) take(msg []byte) {
+// take takes an answer; false where it is of no use.
+func (r *Resolver) take(msg []byte) bool {
 	if len(msg) > nodelist.AnswerMost {
 		r.failed(errTooLong)
-		return
+		return false
 	}
 	list, err := nodelist.ParseAnswer(msg, func(id uint16) bool { return slices.Contains(r.ids, id) }, r.names)
 	if err != nil {
 		r.failed(err)
-		return
+		return false
 	}
 	if list.Number > r.number {
 		r.number = list.Number
 		r.told(list.Nodes)
 	}
+	return true
 }
 
 func (r *Resolver) failed(err error) {
--- a/nodelist/resolver/resolver_test.go
+++ b/nodelist/resolver/resolver_test.go
@@ -101,14 +101,17 @@
 	r.Move(b.Address())
 	b.Set(10, nodes("ten"))
 	expect("ten")
+	b.Mute() // that flow alone falls silent
+	b.Set(11, nodes("eleven"))
+	expect("eleven")
 	b.Close() // nobody listens: it asks on, and is there when somebody does
 	failures := r.Failures()
 	for r.Failures() < failures+3 {
 		time.Sleep(time.Millisecond)
 	}
 	r.Move(a.Address())
-	a.Set(11, nodes("eleven"))
-	expect("eleven")
+	a.Set(12, nodes("twelve"))
+	expect("twelve")
 	cancel()
 	<-done
 	if len(told) > 0 {
--- a/standin/names.go
+++ b/standin/names.go
@@ -25,6 +25,8 @@
 	nodes  []nodelist.Node
 	spoil  func(question, answer []byte) []byte // nil: nothing is spoilt
 	asked  int
+	heard  map[netip.AddrPort]bool // who has asked
+	mute   map[netip.AddrPort]bool // who gets no answer any more
 }
 
 // NewNameService listens on loopback.
@@ -33,7 +35,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &NameService{conn: conn, names: names}
+	s := &NameService{conn: conn, names: names, heard: map[netip.AddrPort]bool{}}
 	s.done.Add(1)
 	go s.serve()
 	return s, nil
@@ -56,6 +58,13 @@
 	s.spoil = spoil
 }
 
+// Mute has every socket that has asked so far get no answer any more.
+func (s *NameService) Mute() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.mute, s.heard = s.heard, map[netip.AddrPort]bool{}
+}
+
 // Asked counts the questions.
 func (s *NameService) Asked() int {
 	s.mu.Lock()
@@ -83,12 +92,14 @@
 		}
 		s.mu.Lock()
 		s.asked++
+		s.heard[from] = true
+		mute := s.mute[from]
 		answer, spoil := ListAnswer(q.ID, s.number, s.nodes, s.names), s.spoil
 		s.mu.Unlock()
 		if spoil != nil {
 			answer = spoil(buf[:n], answer)
 		}
-		if len(answer) > 0 {
+		if len(answer) > 0 && !mute {
 			s.conn.WriteToUDPAddrPort(answer, from)
 		}
 	}
