A keyed request's window is kept when its attempt begins, not only when it is decided

Seen on reading: mayStart() compares the window with the moment of the decision, while an attempt over sockets may begin a connect time-out later, when nodes may have forgotten the key. Forced by TestNothingBeginsLate ('the window is over'): the request was written. Send now says until when it may begin, and the write looks at it. A DROP that cannot be written closes its connection, which gives the request up as well.

--- a/choice/api.go
+++ b/choice/api.go
@@ -247,10 +247,12 @@
 
 // The actions. Attempts of a request count from 0 in the order of their Send.
 type (
-	// Send starts an attempt; Timeout 0 lasts until the client gives up.
+	// Send starts an attempt; Timeout 0 lasts until the client gives up. One that has not begun by Before must not begin any
+	// more: engines may have forgotten a keyed request by then (0: it may).
 	Send struct {
 		ID, Engine string
 		Timeout    Micros
+		Before     Micros
 	}
 	// Terms sets memory for further sends, and priority (0 to 3) at once.
 	Terms struct {
--- a/choice/choice.go
+++ b/choice/choice.go
@@ -593,7 +593,11 @@
 	if g.set.GrantsCount || g.set.PriorityCount {
 		g.do(Terms{ID: q.ID, MemoryMB: a.grant, Priority: levels - 1 - q.level})
 	}
-	g.do(Send{ID: q.ID, Engine: e.ID, Timeout: max(q.Due-g.guard()-g.now, 1)})
+	s := Send{ID: q.ID, Engine: e.ID, Timeout: max(q.Due-g.guard()-g.now, 1)}
+	if c.Effect == Keyed && q.ran != nil {
+		s.Before = q.ran.sent + c.Window
+	}
+	g.do(s)
 }
 
 // guard is the time before a deadline at which the final answer is given.
--- a/choice/rules_test.go
+++ b/choice/rules_test.go
@@ -102,6 +102,9 @@
 		t.Fatalf("%d further sends, want %d", len(again), wanted)
 	}
 	for _, a := range again {
+		if until := a.Before; stays && until != b.g.open[q.ID].ran.sent+b.g.classes[0].Window || !stays && until != 0 && b.g.classes[0].Effect != Keyed {
+			t.Fatalf("another attempt may begin until %d", until)
+		}
 		if stays && b.g.byID[a.Engine].Cell != b.g.byID[first.Engine].Cell {
 			t.Fatalf("sent to another cell: %v after %v", a, first)
 		}
--- a/choice/scale_test.go
+++ b/choice/scale_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"fmt"
+	"math"
+	"math/rand/v2"
 	"reflect"
 	"testing"
 )
@@ -14,6 +16,7 @@
 	ids    int
 	due    map[Micros][]func()
 	sent   map[string]float64 // work sent to each engine, by its estimate
+	sends  map[string][]Micros
 	open   map[string]float64 // threads out on each engine
 	most   map[string]float64
 	probes int
@@ -25,7 +28,7 @@
 func newCrowd(t *testing.T, gateways, engines int, edit func(*Settings), row func(int, *Engine)) *crowd {
 	t.Helper()
 	c := &crowd{t: t, now: 100 * sec, due: map[Micros][]func(){}, sent: map[string]float64{},
-		open: map[string]float64{}, most: map[string]float64{}, tells: map[int]int{}}
+		sends: map[string][]Micros{}, open: map[string]float64{}, most: map[string]float64{}, tells: map[int]int{}}
 	var rows []Engine
 	for i := range engines {
 		e := Engine{ID: fmt.Sprintf("e%02d", i), Cell: i / 2}
@@ -59,6 +62,7 @@
 	for _, a := range acts {
 		switch a := a.(type) {
 		case Send:
+			c.sends[a.Engine] = append(c.sends[a.Engine], c.now)
 			q := c.gs[i].open[a.ID]
 			c.sent[a.Engine] += q.est
 			c.open[a.Engine] += q.class.threads
@@ -170,6 +174,66 @@
 	}
 }
 
+// The same in requests over every window, beyond chance (N + 2 x root of N + 2 of N that the settings allow), where traffic is uneven and
+// every gateway is replaced, a tenth at a time, by one that knows nothing but the list.
+func TestColdBudgetHoldsForJoiners(t *testing.T) {
+	for _, n := range []int{3, 30, 300} {
+		rows := []Engine{}
+		c := newCrowd(t, n, 4, func(s *Settings) { s.CanProbe = false }, func(i int, e *Engine) {
+			if i == 0 {
+				e.Started = 100 * sec
+			}
+			rows = append(rows, *e)
+		})
+		s := c.gs[0].set
+		rng := rand.New(rand.NewPCG(1, uint64(n)))
+		for tick := 0; c.now < 100*sec+s.ColdFor; tick++ {
+			c.now += 10000
+			for _, f := range c.due[c.now] {
+				f()
+			}
+			delete(c.due, c.now)
+			for range 6 { // more than the others can do
+				i := rng.IntN(n)
+				if rng.IntN(2) == 0 { // some see several times the mean
+					i = rng.IntN((n + 4) / 5)
+				}
+				c.ids++
+				c.play(i, Request{ID: fmt.Sprint(c.ids), Cost: 100000, MemoryMB: 100, Due: c.now + 4*sec})
+			}
+			for i := range c.gs {
+				if tick%20 == 0 && i%10 == tick/20-5 {
+					peer := s
+					peer.Me = i
+					g, err := New(uint64(1000+tick+i), peer)
+					if err != nil {
+						t.Fatal(err)
+					}
+					c.gs[i] = g
+					c.play(i, Engines{Whole: true, Rows: rows})
+				}
+				c.play(i)
+			}
+		}
+		sends, worst := c.sends["e00"], 0.0
+		for i, from := range sends {
+			share := s.ColdFrom + (1-s.ColdFrom)*float64(from-100*sec)/float64(s.ColdFor)
+			budget := s.FallMultiple * share * 8 * float64(s.FallFor) / micros / 0.1
+			count := 0.0
+			for _, at := range sends[i:] {
+				if at < from+s.FallFor {
+					count++
+				}
+			}
+			worst = max(worst, count/(budget+2*math.Sqrt(budget)+2))
+		}
+		t.Logf("%d gateways: %d sent to the cold engine, at most %.2f of what it bears in a window", n, len(sends), worst)
+		if worst > 1 || len(sends) == 0 {
+			t.Errorf("%d gateways sent the cold engine %.2f times what it bears in a window", n, worst)
+		}
+	}
+}
+
 // Gateways that hear of the same room do not fill it many times over.
 func TestCommonNewsIsNotClaimedByAll(t *testing.T) {
 	c := newCrowd(t, 80, 10, func(s *Settings) { s.CanProbe = false }, nil)
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -375,7 +375,7 @@
 			Code: choice.Moot, Over: e.final != 0})
 		return
 	}
-	a := Attempt{Query: e.q, N: n, Node: s.Engine, Until: e.q.Due, MemoryMB: e.terms.MemoryMB,
+	a := Attempt{Query: e.q, N: n, Node: s.Engine, Until: e.q.Due, Before: s.Before, MemoryMB: e.terms.MemoryMB,
 		Priority: e.terms.Priority, HasTerms: e.terms.HasTerms}
 	if s.Timeout > 0 {
 		a.Until = min(a.Until, now+s.Timeout)
--- a/dispatch/query.go
+++ b/dispatch/query.go
@@ -89,6 +89,7 @@
 	N        int // from 0
 	Node     string
 	Until    Micros // the attempt's time-out; never after Query.Due
+	Before   Micros // it must not begin at a node later than this; 0: until Until
 	MemoryMB float64
 	Priority int  // 0 to 3
 	HasTerms bool // MemoryMB and Priority were set by the module
--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -358,13 +358,14 @@
 }
 
 // begin writes the request, unless it must not begin any more: a connection may have taken long to come up, or a command before
-// it long to be written. Meanwhile the client may have left, the time run out, the node begun to drain, or gone from its address.
+// it long to be written. Meanwhile the client may have left, the time or a keyed request's window run out, the node begun to drain, or
+// gone from its address.
 func (t *linesAttempt) begin(ctx context.Context, n *node, c *linesConn) (written int, err error) {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
-	q := *t.call
-	q.TTL = (int64(t.a.Until-t.f.clock.Now()) + 999) / 1000
-	if ctx.Err() != nil || q.TTL <= 0 || !n.takes() {
+	q, now := *t.call, t.f.clock.Now()
+	q.TTL = (int64(t.a.Until-now) + 999) / 1000
+	if ctx.Err() != nil || q.TTL <= 0 || !n.takes() || t.a.Before > 0 && now >= t.a.Before {
 		return 0, errUnsent
 	}
 	if t.a.HasTerms {
@@ -417,7 +418,9 @@
 	t.done = true
 	t.mu.Unlock()
 	silent := errors.Is(context.Cause(ctx), errTimedOut)
-	c.write(lineproto.AppendDrop(nil, t.call.ID))
+	if _, err := c.write(lineproto.AppendDrop(nil, t.call.ID)); err != nil { // a close gives it up as well
+		c.close(err)
+	}
 	c.leave(t, true, silent)
 }
 
--- a/fleet/lines_test.go
+++ b/fleet/lines_test.go
@@ -24,6 +24,8 @@
 	tape  tape
 	clock dispatch.Clock
 	notes []choice.Progress
+
+	before choice.Micros // of the attempts sent
 }
 
 func newLineFleet(t *testing.T, o Options, addresses ...string) *lineFleet {
@@ -46,7 +48,7 @@
 func (f *lineFleet) send(id string, n int, node string, within time.Duration) {
 	now := f.clock.Now()
 	f.Send(dispatch.Attempt{Query: &dispatch.Query{ID: "q-" + id, Due: now + 1e7, Work: &lineproto.Request{ID: id, Class: "lookup",
-		Text: "SELECT 1", Priority: -1}}, N: n, Node: node, Until: now + within.Microseconds()})
+		Text: "SELECT 1", Priority: -1}}, N: n, Node: node, Until: now + within.Microseconds(), Before: f.before})
 }
 
 func (f *lineFleet) end() dispatch.Ended {
@@ -256,6 +258,11 @@
 			c.rows[0].ID = "other"
 			c.f.SetNodes(c.rows)
 		},
+		"the window is over": func(c *crossing) {
+			for c.f.clock.Now() < c.f.attempt("q-id", 0).a.Before {
+				time.Sleep(time.Millisecond)
+			}
+		},
 		"the time is up": func(c *crossing) {
 			for c.f.clock.Now() < c.f.attempt("q-id", 0).a.Until {
 				time.Sleep(time.Millisecond)
@@ -277,6 +284,9 @@
 				c := &crossing{f, []nodelist.Node{{ID: "n0", Lines: node.Address()}}}
 				arrived, release := make(chan struct{}), func() {}
 				within := 3 * time.Second
+				if name == "the window is over" {
+					f.before = f.clock.Now() + 50000
+				}
 				if name == "the time is up" {
 					within = 50 * time.Millisecond
 				}
