An end told late by one connection does not end an attempt that is on another

Seen on reading: linesConn.close() collects what is open, closes the socket and tells the attempts last. An attempt whose write fails in between, with nothing written, moves to another connection; the word that comes then ended it as broken while it ran on there, nothing was dropped at the node, and the module was free to send it again: two attempts out. Lines at fault: fleet/lines.go end() and take() did not ask which connection spoke. A connection that let an attempt time out could also be shared with a new one before it was closed: it is marked under its lock now.

--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -46,6 +46,7 @@
 	mu    sync.Mutex
 	open  map[string]*linesAttempt
 	given []string // ids given up here: their answers may still come
+	worn  bool     // takes no more attempts
 	dead  bool
 }
 
@@ -193,7 +194,7 @@
 func (c *linesConn) enter(t *linesAttempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.dead || c.open[t.call.ID] != nil || len(c.given) >= givenMost || slices.Contains(c.given, t.call.ID) {
+	if c.dead || c.worn || c.open[t.call.ID] != nil || slices.Contains(c.given, t.call.ID) {
 		return false
 	}
 	c.open[t.call.ID] = t
@@ -216,7 +217,8 @@
 		c.given = append(c.given, t.call.ID)
 	}
 	idle := len(c.open) == 0 && !c.dead
-	worn := silent || len(c.given) >= givenMost
+	c.worn = c.worn || silent || len(c.given) >= givenMost
+	worn := c.worn
 	if idle {
 		c.conn.SetReadDeadline(time.Now().Add(c.f.opt.LinesIdle))
 	}
@@ -256,7 +258,7 @@
 	c.f.linesOpen.Add(-1)
 	c.pool.remove(c)
 	for _, t := range open {
-		t.end(why)
+		t.end(c, why)
 	}
 }
 
@@ -275,7 +277,7 @@
 		if t == nil { // given up, answered already, or never asked for here
 			continue
 		}
-		if err := t.take(&a); err != nil {
+		if err := t.take(c, &a); err != nil {
 			c.close(err)
 			return
 		}
@@ -424,14 +426,14 @@
 	c.leave(t, true, silent)
 }
 
-// end ends the attempt with its connection.
-func (t *linesAttempt) end(why error) {
+// end ends the attempt with its connection. It may be on another one by now: where nothing had left on this one.
+func (t *linesAttempt) end(c *linesConn, why error) {
 	t.mu.Lock()
-	if !t.done {
+	defer t.mu.Unlock()
+	if t.conn == c && !t.done {
 		t.done, t.err = true, &connectionError{why}
+		t.ring()
 	}
-	t.mu.Unlock()
-	t.ring()
 }
 
 func (t *linesAttempt) ring() {
@@ -442,10 +444,10 @@
 }
 
 // take takes one answer; an error ends the connection.
-func (t *linesAttempt) take(a *lineproto.Answer) error {
+func (t *linesAttempt) take(c *linesConn, a *lineproto.Answer) error {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	if t.done {
+	if t.done || t.conn != c {
 		return nil
 	}
 	if load := linesLoad(a.Field("rep")); load != nil {
--- a/fleet/lines_test.go
+++ b/fleet/lines_test.go
@@ -333,6 +333,35 @@
 	}
 }
 
+// A connection that ended before anything was written on it may tell so when the attempt is on another one already: that is no end of
+// it, and it is not sent a second time while it runs.
+func TestALateEndOfAnotherConnection(t *testing.T) {
+	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		if cmd.ID == "go" {
+			fmt.Fprint(c, standin.LineAnswer("id", "data", "total=1", "a\tb\tc\n"))
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newLineFleet(t, Options{LinesMost: 1}, node.Address())
+	f.send("id", 0, "n0", 5*time.Second)
+	for len(node.Commands()) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	out := f.attempt("q-id", 0).carrier.(*linesAttempt)
+	ended := &linesConn{f: f.Fleet, open: map[string]*linesAttempt{"id": out}}
+	out.end(ended, net.ErrClosed)
+	if err := out.take(ended, &lineproto.Answer{ID: "id", Word: lineproto.Failed}); err != nil {
+		t.Error(err)
+	}
+	f.send("go", 0, "n0", 5*time.Second) // on the same connection
+	if end := f.end(); end.ID != "q-id" || end.Code != choice.OK {
+		t.Errorf("%s ended with code %d (%v)", end.ID, end.Code, end.Err)
+	}
+}
+
 // Probes count among the connections held, and a connection that was closed makes room at once.
 func TestEverySocketIsCounted(t *testing.T) {
 	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
