--- a/front/postgres/session_test.go
+++ b/front/postgres/session_test.go
@@ -33,15 +33,17 @@
 func (d *desk) Post(ev dispatch.Event) {
 	switch ev := ev.(type) {
 	case dispatch.Taken:
+		d.mu.Lock()
+		d.open[ev.Query.ID] = ev.Query
+		d.mu.Unlock()
 		if d.answer != nil {
 			if v, ok := d.answer(ev.Query); ok {
+				d.mu.Lock()
+				delete(d.open, ev.Query.ID)
+				d.mu.Unlock()
 				ev.Query.Client.Answer(v)
-				return
 			}
 		}
-		d.mu.Lock()
-		d.open[ev.Query.ID] = ev.Query
-		d.mu.Unlock()
 	case dispatch.Left:
 		d.mu.Lock()
 		q := d.open[ev.ID]
