The end of a drain does not wait for clients that never stop sending

Lines at fault: session.go take() and part(). Commands wait now where the session closes, and are refused, within 50 ms, behind the last answer.

--- a/front/postgres/session.go
+++ b/front/postgres/session.go
@@ -246,12 +246,13 @@
 	return true
 }
 
-// take takes a command; false where the session closes. It waits while too much has been read ahead.
+// take takes a command; false where the session closes. It waits while too much has been read ahead, and where the session closes behind
+// the answers that it owes.
 func (s *session) take(c command) bool {
 	s.f.came()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for len(s.commands) >= aheadMost || len(s.commands) > 0 && s.size+len(c.text) > aheadBytes {
+	for s.parting && s.phase == working || len(s.commands) >= aheadMost || len(s.commands) > 0 && s.size+len(c.text) > aheadBytes {
 		s.room.Wait()
 	}
 	if s.phase == closing {
@@ -274,6 +275,7 @@
 			if s.parting {
 				s.phase = closing
 			}
+			s.room.Signal()
 			if !s.reading {
 				s.conn.SetReadDeadline(s.until())
 			}
@@ -311,13 +313,14 @@
 // read off, since a close over unread bytes would take that word back.
 const (
 	sweep       = time.Millisecond
+	sweepMost   = 50 * time.Millisecond  // in all: a client may come again as soon as it is refused
 	lingerFor   = 250 * time.Millisecond // several times what a request may cross a close by
 	lingerBytes = 256 << 10
 )
 
 // part ends a session that owes nothing. Queries that had come before are refused: nothing runs for them.
 func (s *session) part(r *bufio.Reader) {
-	for !s.full {
+	for until := time.Now().Add(sweepMost); !s.full && time.Now().Before(until); {
 		s.conn.SetReadDeadline(time.Now().Add(sweep))
 		if _, err := r.Peek(1); err != nil {
 			break
--- a/front/postgres/session_test.go
+++ b/front/postgres/session_test.go
@@ -643,6 +643,45 @@
 	}
 }
 
+// A client that never stops sending does not hold up the end, neither while it is served nor when its session closes.
+func TestTheEndDoesNotWaitForAFlood(t *testing.T) {
+	var group sync.WaitGroup
+	var s *served
+	s = serve(t, Options{Quiet: 5 * time.Millisecond}, func(q *dispatch.Query) (dispatch.Verdict, bool) {
+		group.Go(func() { // while more is read ahead, as long as any is
+			for i, ahead := 0, false; i < 100 && !ahead; i++ {
+				time.Sleep(time.Millisecond)
+				s.front.mu.Lock()
+				for _, o := range s.front.sessions {
+					o.mu.Lock()
+					ahead = len(o.commands) > 0
+					o.mu.Unlock()
+				}
+				s.front.mu.Unlock()
+			}
+			q.Client.Answer(result(1))
+		})
+		return dispatch.Verdict{}, false
+	})
+	c := s.session()
+	group.Go(func() { io.Copy(io.Discard, c.r) })
+	group.Go(func() {
+		batch := append(ask(1, "SELECT 1"), ask(2, "SELECT 1")...)
+		for {
+			if _, err := c.Write(batch); err != nil {
+				return
+			}
+		}
+	})
+	begun := time.Now()
+	s.stop()
+	if took := time.Since(begun); took > 5*time.Second { // far beyond quiet, sweep and linger: as long as the flood goes on
+		t.Errorf("the end took %v", took)
+	}
+	c.Close()
+	group.Wait()
+}
+
 // What is open when the front stops gets its answer written before connections close.
 func TestAnswersAreWrittenBeforeTheEnd(t *testing.T) {
 	s := serve(t, Options{}, nil)
