--- a/fleet/lines_test.go
+++ b/fleet/lines_test.go
@@ -333,6 +333,39 @@
 	}
 }
 
+// A second copy of an answer that comes when its attempt is over belongs to nobody: neither to the next attempt on the connection nor to
+// the same query asked again.
+func TestASecondCopyLater(t *testing.T) {
+	first := ""
+	node, err := standin.NewLineNode("", func(c net.Conn, cmd standin.LineCommand) {
+		if cmd.Verb != "GET" {
+			return
+		}
+		if first == "" {
+			first = cmd.ID
+		} else { // half of the copy, then the rest with the next answer behind it
+			copied := standin.LineAnswer(first, "data", "total=1", "old\t\t\n")
+			fmt.Fprint(c, copied[:11])
+			fmt.Fprint(c, copied[11:])
+		}
+		fmt.Fprint(c, standin.LineAnswer(cmd.ID, "data", "total=1", cmd.ID+"\t\t\n"))
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newLineFleet(t, Options{}, node.Address())
+	for _, id := range []string{"a", "b", "c"} {
+		f.send(id, 0, "n0", time.Second)
+		if end := f.end(); end.Code != choice.OK || rowsOf(end.Result) != id+"||;" {
+			t.Errorf("%s: code %d (%v), rows %q", id, end.Code, end.Err, rowsOf(end.Result))
+		}
+	}
+	if node.Accepted() != 1 {
+		t.Errorf("%d connections", node.Accepted())
+	}
+}
+
 // A connection that ended before anything was written on it may tell so when the attempt is on another one already: that is no end of
 // it, and it is not sent a second time while it runs.
 func TestALateEndOfAnotherConnection(t *testing.T) {
--- a/front/postgres/session_test.go
+++ b/front/postgres/session_test.go
@@ -263,7 +263,7 @@
 		return result(1), true
 	})
 	whole := append(append([]byte{}, startupMessage...), ask(1, "SELECT 'ü'")...)
-	for cut := 1; cut < len(whole); cut += 3 {
+	for cut := 1; cut < len(whole); cut++ {
 		c := s.connect()
 		c.Write(whole[:cut])
 		c.Write(whole[cut:])
@@ -351,6 +351,40 @@
 	}
 }
 
+// Clients that send much at once and go without reading disturb nobody, and nothing of theirs stays.
+func TestAFloodThatGoes(t *testing.T) {
+	s := serve(t, Options{MaxStatement: 4096}, func(*dispatch.Query) (dispatch.Verdict, bool) { return result(1), true })
+	usual := s.session()
+	var group sync.WaitGroup
+	for i := range 8 {
+		group.Go(func() {
+			for j := range 25 {
+				c, err := net.Dial("tcp", s.address)
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				c.Write(startupMessage)
+				for k := range 50 {
+					c.Write(ask(1000*i+50*j+k, strings.Repeat("SELECT 1 ", 100*(k%7))))
+				}
+				c.Close()
+			}
+		})
+	}
+	for i := range 100 {
+		usual.Write(ask(1<<20+i, "SELECT 1"))
+		if got := usual.until('Z'); got != "TDCZ" {
+			t.Fatalf("the usual client got %s", got)
+		}
+	}
+	group.Wait()
+	s.stop()
+	if len(s.front.sessions)+len(s.front.traces) > 0 {
+		t.Errorf("%d sessions and %d ids are left", len(s.front.sessions), len(s.front.traces))
+	}
+}
+
 // A client leaves by a cancel with its key, or by closing; another key does nothing. Its query is told as left, once.
 func TestClientsThatLeave(t *testing.T) {
 	s := serve(t, Options{}, nil)
