The test of a close against a query waits for its session to rest

By its goroutines the test had ended early, since evict() found the session still working (a client reads an answer before the session's worker has ended), with the gate shut, so that the front never ended.

--- a/front/postgres/session_test.go
+++ b/front/postgres/session_test.go
@@ -597,13 +597,22 @@
 			c := s.session()
 			c.Write(ask(1, "SELECT 1"))
 			c.until('Z')
+			for resting := false; !resting; { // the answer is read before its worker has ended
+				s.front.mu.Lock()
+				for _, o := range s.front.sessions {
+					phase, _, _ := o.state()
+					resting = phase == idle
+				}
+				s.front.mu.Unlock()
+			}
 			open := s.gate.shut()
 			c.Write(ask(2, "SELECT 1"))
 			<-s.gate.held
-			if !shut(s) {
+			closed := shut(s)
+			open()
+			if !closed {
 				t.Fatal("not closed")
 			}
-			open()
 			if got := c.until('.'); got != "E(57P03)Z." {
 				t.Errorf("%s", got)
 			}
