Log versions, age and silence of the node list; count why queries are refused or failed

Need: the log of the incident could not tell which list was in force when, nor why answers of the name service were not used. Change: each list in force is logged with the nodes whose state changed; silence and its end with age and answer time; figures of the list and of reasons beside the other figures; debug lines carry the client's trace id. No decision changes.

--- a/dispatcher/platform.go
+++ b/dispatcher/platform.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"log/slog"
 	"math"
 	"net"
@@ -34,6 +35,7 @@
 	peers    *peers.Peers // nil: the settings allow none
 	resolver *resolver.Resolver
 	tally    *tally
+	nodes    []nodelist.Node // in force; the resolver's goroutine's own
 	drain    chan struct{}
 }
 
@@ -100,6 +102,7 @@
 	if err := p.fleet.SetNodes(cfg.Known.Nodes); err != nil {
 		return nil, err
 	}
+	p.nodes = cfg.Known.Nodes
 	l, err := net.Listen("tcp", cfg.Listen)
 	if err != nil {
 		return nil, err
@@ -114,7 +117,10 @@
 func (p *Platform) setNodes(nodes []nodelist.Node) {
 	if err := p.fleet.SetNodes(nodes); err != nil {
 		p.log.Warn("a node list was not taken", "error", err)
+		return
 	}
+	p.log.Info("node list in force", "version", p.resolver.Stats().Version, "changes", fmt.Sprint(nodelist.Changes(p.nodes, nodes)))
+	p.nodes = nodes
 }
 
 // Reload takes the file anew, as a whole or not at all: the name service may have moved. What else it holds is for the next
--- a/dispatcher/tally.go
+++ b/dispatcher/tally.go
@@ -3,11 +3,14 @@
 import (
 	"context"
 	"log/slog"
+	"slices"
+	"strings"
 	"sync/atomic"
 	"time"
 
 	"embershunt/choice"
 	"embershunt/dispatch"
+	"embershunt/internal/lineproto"
 )
 
 // tally counts what the loop does where no metrics are served: nothing in it grows with ids, connections or nodes.
@@ -20,16 +23,37 @@
 	further atomic.Int64
 	faults  atomic.Int64
 	held    atomic.Int64
+	reasons [len(tallyReasons)]atomic.Int64
 }
 
+// tallyReasons are the reasons of refused and failed queries, in the order in which they are logged.
+var tallyReasons = [...]dispatch.Reason{dispatch.ReasonOverload, dispatch.ReasonFull, dispatch.ReasonDraining, dispatch.ReasonAttempt,
+	dispatch.ReasonBroken, dispatch.ReasonDeadline, dispatch.ReasonInternal, dispatch.ReasonGone, dispatch.ReasonStopped}
+
 func newTally(log *slog.Logger) *tally { return &tally{log: log} }
 
 // Taken implements dispatch.Observer.
-func (t *tally) Taken(*dispatch.Query) { t.taken.Add(1) }
+func (t *tally) Taken(q *dispatch.Query) {
+	t.taken.Add(1)
+	t.log.Debug("taken", "query", q.ID, "trace", traceID(q))
+}
+
+// traceID is the client's id of a query; "" where its protocol has none.
+func traceID(q *dispatch.Query) string {
+	if r, ok := q.Work.(*lineproto.Request); ok {
+		return r.ID
+	}
+	return ""
+}
 
 // Answered implements dispatch.Observer.
-func (t *tally) Answered(_ *dispatch.Query, v dispatch.Verdict, _ dispatch.Micros) {
+func (t *tally) Answered(q *dispatch.Query, v dispatch.Verdict, took dispatch.Micros) {
 	t.finals[v.Final].Add(1)
+	if i := slices.Index(tallyReasons[:], v.Reason); i >= 0 {
+		t.reasons[i].Add(1)
+	}
+	t.log.Debug("answered", "query", q.ID, "trace", traceID(q), "final", v.Final.String(), "reason", v.Reason, "attempts", v.Attempts,
+		"took_ms", took/1000)
 }
 
 // Sent implements dispatch.Observer.
@@ -37,6 +61,7 @@
 	if t.sent.Add(1); a.N > 0 {
 		t.further.Add(1)
 	}
+	t.log.Debug("sent", "query", a.Query.ID, "trace", traceID(a.Query), "attempt", a.N, "node", a.Node)
 }
 
 // Ended implements dispatch.Observer.
@@ -92,10 +117,27 @@
 			args = append(args, "told", sent, "heard", heard, "peer_dropped", dropped)
 		}
 		t.log.Info("figures", args...)
+		list := p.resolver.Stats()
+		t.log.Info("node list figures", "version", list.Version, "age_ms", list.Age.Milliseconds(), "questions", list.Questions,
+			"answers", list.Answers, "unusable", list.Unusable, "sockets", list.Sockets)
+		t.logReasons()
 		if done {
 			return
 		}
 	}
 }
 
+// logReasons logs why queries were refused or failed, those reasons that occurred.
+func (t *tally) logReasons() {
+	var args []any
+	for i, reason := range tallyReasons {
+		if n := t.reasons[i].Load(); n > 0 {
+			args = append(args, strings.ToLower(string(reason)), n)
+		}
+	}
+	if len(args) > 0 {
+		t.log.Info("queries refused or failed", args...)
+	}
+}
+
 var _ dispatch.Observer = (*tally)(nil)
--- a/nodelist/nodelist.go
+++ b/nodelist/nodelist.go
@@ -86,3 +86,39 @@
 	}
 	return nil
 }
+
+// Change is one node whose row differs between two lists.
+type Change struct {
+	ID       string
+	From, To choice.EngineState // Gone: the node is not in that list
+}
+
+var stateNames = map[choice.EngineState]string{choice.Healthy: "ready", choice.Draining: "draining", choice.Gone: "gone"}
+
+// String names the node and its new state.
+func (c Change) String() string { return c.ID + ":" + stateNames[c.To] }
+
+// Changes lists the nodes whose state differs between two lists, those of the newer list first.
+func Changes(before, after []Node) (out []Change) {
+	states := map[string]choice.EngineState{}
+	for _, n := range before {
+		states[n.ID] = n.State
+	}
+	listed := map[string]bool{}
+	for _, n := range after {
+		listed[n.ID] = true
+		from, known := states[n.ID]
+		if !known {
+			from = choice.Gone
+		}
+		if from != n.State {
+			out = append(out, Change{ID: n.ID, From: from, To: n.State})
+		}
+	}
+	for _, n := range before {
+		if !listed[n.ID] && n.State != choice.Gone {
+			out = append(out, Change{ID: n.ID, From: n.State, To: choice.Gone})
+		}
+	}
+	return out
+}
--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -25,7 +25,15 @@
 	number int64
 	ids    []uint16 // of the questions asked last
 
-	failures atomic.Int64
+	asked map[uint16]time.Time // when each of ids was asked; the Run goroutine's own
+
+	failures  atomic.Int64
+	questions atomic.Int64
+	answers   atomic.Int64
+	sockets   atomic.Int64
+	inForce   atomic.Int64
+	heardAt   atomic.Int64 // when the last usable answer came, in nanoseconds since began
+	began     time.Time
 
 	mu      sync.Mutex
 	address string
@@ -43,9 +51,30 @@
 
 // New returns a resolver that asks every so often and tells of each newer list; number is that of the list known.
 func New(log *slog.Logger, address string, names nodelist.Names, number int64, every time.Duration, told func([]nodelist.Node)) *Resolver {
-	return &Resolver{log: log, address: address, names: names, number: number, every: every, told: told}
+	r := &Resolver{log: log, address: address, names: names, number: number, every: every, told: told,
+		asked: map[uint16]time.Time{}, began: time.Now()}
+	r.inForce.Store(number)
+	return r
+}
+
+// Stats are what a Resolver has seen since its start.
+type Stats struct {
+	Version   int64         // of the list in force
+	Age       time.Duration // since the last usable answer, or the start
+	Questions int64
+	Answers   int64 // usable ones
+	Unusable  int64 // answers that could not be used, and questions that could not be asked
+	Sockets   int64 // opened
 }
 
+// Stats tells what has been seen so far; it may be called from any goroutine.
+func (r *Resolver) Stats() Stats {
+	return Stats{Version: r.inForce.Load(), Age: r.age(), Questions: r.questions.Load(), Answers: r.answers.Load(),
+		Unusable: r.failures.Load(), Sockets: r.sockets.Load()}
+}
+
+func (r *Resolver) age() time.Duration { return time.Since(r.began) - time.Duration(r.heardAt.Load()) }
+
 // Move has the resolver ask at another address from now on; numbers go on.
 func (r *Resolver) Move(address string) {
 	r.mu.Lock()
@@ -96,6 +125,9 @@
 	}
 	var err error
 	r.conn, err = net.Dial("udp", r.address)
+	if err == nil {
+		r.sockets.Add(1)
+	}
 	return r.conn, err
 }
 
@@ -105,8 +137,11 @@
 	for unanswered := 0; ctx.Err() == nil && unanswered < unansweredMost; unanswered++ {
 		id := uint16(rand.Uint32())
 		if r.ids = append(r.ids, id); len(r.ids) > idsKept {
+			delete(r.asked, r.ids[0])
 			r.ids = r.ids[1:]
 		}
+		r.asked[id] = time.Now()
+		r.questions.Add(1)
 		question, err := nodelist.Question(id)
 		if err != nil {
 			r.failed(err)
@@ -138,6 +173,10 @@
 			break
 		}
 	}
+	if ctx.Err() == nil {
+		r.log.Warn("node list: no usable answer; asking from another socket", "age_ms", r.age().Milliseconds(),
+			"version", r.number, "questions", r.questions.Load(), "unusable", r.failures.Load())
+	}
 }
 
 // take takes an answer; false where it is of no use.
@@ -151,13 +190,29 @@
 		r.failed(err)
 		return false
 	}
+	r.heard(msg)
 	if list.Number > r.number {
 		r.number = list.Number
+		r.inForce.Store(list.Number)
 		r.told(list.Nodes)
 	}
 	return true
 }
 
+// ageLogged is the age of a list from which on its end is logged.
+const ageLogged = 2
+
+// heard notes a usable answer.
+func (r *Resolver) heard(msg []byte) {
+	age := r.age()
+	r.answers.Add(1)
+	r.heardAt.Store(int64(time.Since(r.began)))
+	if age > ageLogged*r.every {
+		id := uint16(msg[0])<<8 | uint16(msg[1])
+		r.log.Info("node list: answered again", "age_ms", age.Milliseconds(), "answer_ms", time.Since(r.asked[id]).Milliseconds())
+	}
+}
+
 func (r *Resolver) failed(err error) {
 	r.failures.Add(1)
 	r.log.Debug("no use could be made of the name service", "error", err)
--- a/nodelist/resolver/resolver_test.go
+++ b/nodelist/resolver/resolver_test.go
@@ -92,6 +92,9 @@
 	if r.Failures() < 4 {
 		t.Errorf("%d failures counted, want 4 and more", r.Failures())
 	}
+	if s := r.Stats(); s.Version != 8 || s.Answers == 0 || s.Questions < s.Answers || s.Unusable != r.Failures() || s.Sockets == 0 {
+		t.Errorf("stats %+v", s)
+	}
 	b.Set(8, nodes("no news"))
 	r.Move(b.Address())
 	asked(b, 2)
