--- /dev/null
+++ b/soak/names.go
@@ -0,0 +1,260 @@
+package soak
+
+import (
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"sync"
+	"time"
+
+	"golang.org/x/net/dns/dnsmessage"
+
+	"embershunt/choice"
+	"embershunt/nodelist"
+	"embershunt/standin"
+)
+
+// NameFaults are what a name service does amiss. The zero value answers at once.
+type NameFaults struct {
+	Down      bool          // nothing is answered
+	Latency   time.Duration // of each answer
+	Loss      float64       // share of the answers that are lost on their way
+	Spoilt    float64       // share of the answers that are cut short, report a failure, or hold an older list
+	Twice     float64       // share of the answers that come twice
+	BadRow    bool          // one row of each answer cannot be read
+	SilentNow bool          // flows that have asked so far are never answered again; a single event
+}
+
+// version is one list that was in force.
+type version struct {
+	number int
+	at     time.Duration
+	nodes  []nodelist.Node
+}
+
+// NameService is the name service as one dispatcher sees it. It keeps account of when that dispatcher counts as notified.
+type NameService struct {
+	record     *Record
+	dispatcher int
+
+	mu       sync.Mutex
+	conn     *net.UDPConn
+	rng      *rand.Rand
+	faults   NameFaults
+	versions []version // from the last start on
+	start    int
+	seen     map[netip.AddrPort]bool
+	silent   map[netip.AddrPort]bool
+	noticed  map[string]bool // nodes whose drain or end has been told
+	quiet    time.Duration   // since when nothing has been answered by order; 0: it answers
+	moved    time.Duration   // when the service was moved last; 0: never
+	done     sync.WaitGroup
+}
+
+// How long after an event, a break-off or a move a dispatcher counts as notified at the latest, as the protocol page says.
+const (
+	toldWithin   = 1500 * time.Millisecond
+	brokenWithin = 4500 * time.Millisecond
+	movedWithin  = 4 * time.Second
+)
+
+func newNameService(r *Record, dispatcher int, seed uint64) (*NameService, error) {
+	s := &NameService{record: r, dispatcher: dispatcher, rng: rand.New(rand.NewPCG(seed, uint64(dispatcher)))}
+	return s, s.listen()
+}
+
+func (s *NameService) listen() error {
+	conn, err := net.ListenUDP("udp4", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	if err != nil {
+		return err
+	}
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.conn, s.seen, s.silent = conn, map[netip.AddrPort]bool{}, map[netip.AddrPort]bool{}
+	s.done.Add(1)
+	go s.serve(conn)
+	return nil
+}
+
+// Address is where it listens now.
+func (s *NameService) Address() string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.conn.LocalAddr().String()
+}
+
+// Move has it listen elsewhere; the old address answers no more.
+func (s *NameService) Move() error {
+	s.mu.Lock()
+	old := s.conn
+	s.mu.Unlock()
+	if err := s.listen(); err != nil {
+		return err
+	}
+	old.Close()
+	return nil
+}
+
+// Moved notes that the dispatcher has been told of the new address.
+func (s *NameService) Moved() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.moved = s.record.now()
+}
+
+// Close ends it.
+func (s *NameService) Close() {
+	s.mu.Lock()
+	s.conn.Close()
+	s.mu.Unlock()
+	s.done.Wait()
+}
+
+// Begin begins another start of the dispatcher: numbers start again, and the list that it knows is the one in force.
+func (s *NameService) Begin(start int, nodes []nodelist.Node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	now := s.record.now()
+	s.start, s.noticed, s.versions = start, map[string]bool{}, []version{{1, now, nodes}}
+	s.told(s.versions[0], now)
+}
+
+// Set puts another list in force.
+func (s *NameService) Set(nodes []nodelist.Node) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.versions) == 0 {
+		return
+	}
+	v := version{len(s.versions) + 1, s.record.now(), nodes}
+	s.versions = append(s.versions, v)
+	start, within := s.start, s.latest(v.at)
+	time.AfterFunc(within, func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.start == start && s.quiet == 0 {
+			s.told(v, v.at+within)
+		}
+	})
+}
+
+// latest is how long after an event it counts as told in any case; s.mu is held.
+func (s *NameService) latest(at time.Duration) time.Duration {
+	within := toldWithin
+	if s.quiet > 0 {
+		within = max(within, s.quiet+brokenWithin-at)
+	}
+	if s.moved > 0 {
+		within = max(within, s.moved+movedWithin-at)
+	}
+	return within
+}
+
+// SetFaults has it misbehave from now on.
+func (s *NameService) SetFaults(f NameFaults) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if f.SilentNow {
+		s.silent, f.SilentNow = s.seen, false
+		s.seen = map[netip.AddrPort]bool{}
+	}
+	switch now := s.record.now(); {
+	case f.Down && s.quiet == 0:
+		s.quiet = now
+	case !f.Down:
+		s.quiet = 0
+	}
+	s.faults = f
+}
+
+// told notes that a version has been told: from now on the dispatcher is notified of what drains or is gone by it. s.mu is held.
+func (s *NameService) told(v version, at time.Duration) {
+	listed := map[string]choice.EngineState{}
+	for _, n := range v.nodes {
+		listed[n.ID] = n.State
+	}
+	for _, earlier := range s.versions {
+		if earlier.number > v.number {
+			break
+		}
+		for _, n := range earlier.nodes {
+			state, is := listed[n.ID]
+			if (!is || state != choice.Healthy) && !s.noticed[n.ID] {
+				s.noticed[n.ID] = true
+				s.record.addNotice(Notice{s.dispatcher, s.start, n.ID, at})
+			}
+		}
+	}
+}
+
+func (s *NameService) serve(conn *net.UDPConn) {
+	defer s.done.Done()
+	buf := make([]byte, 512)
+	for {
+		n, from, err := conn.ReadFromUDPAddrPort(buf)
+		if err != nil {
+			return
+		}
+		var q dnsmessage.Message
+		if q.Unpack(buf[:n]) == nil {
+			s.answer(conn, from, q.ID)
+		}
+	}
+}
+
+// answer answers one question as the faults of the moment have it.
+func (s *NameService) answer(conn *net.UDPConn, from netip.AddrPort, id uint16) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.seen[from] = true
+	f := s.faults
+	if f.Down || s.silent[from] || len(s.versions) == 0 {
+		return
+	}
+	v, start := s.versions[len(s.versions)-1], s.start
+	lost, spoilt, copies := s.rng.Float64() < f.Loss, s.rng.Float64() < f.Spoilt, 1
+	if s.rng.Float64() < f.Twice {
+		copies = 2
+	}
+	message := standin.ListAnswer(id, uint32(v.number), v.nodes, names)
+	if spoilt {
+		message = s.spoil(message, id)
+	} else if f.BadRow {
+		message = standin.ListAnswer(id, uint32(v.number), append([]nodelist.Node{unreadable}, v.nodes...), unreadableNames)
+	}
+	send := func() {
+		s.mu.Lock()
+		defer s.mu.Unlock()
+		if s.start == start && !spoilt {
+			s.told(v, s.record.now())
+		}
+		for range copies {
+			if !lost {
+				conn.WriteToUDPAddrPort(message, from)
+			}
+		}
+	}
+	time.AfterFunc(f.Latency, send)
+}
+
+// unreadable is a row that no dispatcher can use: its zone is in no settings.
+var (
+	unreadable      = nodelist.Node{ID: "s-odd", Hall: 1, Lines: "127.0.0.1:9", Weight: 1}
+	unreadableNames = nodelist.Names{Halls: []string{"west", "nowhere"}, Kinds: names.Kinds}
+)
+
+// spoil makes an answer one that tells nothing. s.mu is held.
+func (s *NameService) spoil(message []byte, id uint16) []byte {
+	switch s.rng.IntN(4) {
+	case 0:
+		return message[:len(message)/2]
+	case 1:
+		message[3] |= 2 // SERVFAIL
+	case 2:
+		message[0] ^= 0x55
+	default:
+		oldest := s.versions[0]
+		return standin.ListAnswer(id, uint32(oldest.number), oldest.nodes, names)
+	}
+	return message
+}
--- /dev/null
+++ b/soak/settings.go
@@ -0,0 +1,85 @@
+package soak
+
+import (
+	"encoding/json"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/nodelist"
+)
+
+// Class is a request class of a run.
+type Class struct {
+	Name     string
+	Effect   choice.Effect
+	Deadline time.Duration
+	Window   time.Duration // of a keyed class: how long nodes remember a key
+	Work     time.Duration // mean time at a node
+}
+
+// classes are those of every run. Their deadlines are short, so that many restarts fit into one.
+var classes = []*Class{
+	{Name: "lookup", Effect: choice.Safe, Deadline: 1500 * time.Millisecond, Work: 20 * time.Millisecond},
+	{Name: "load", Effect: choice.Keyed, Deadline: 2500 * time.Millisecond, Window: 1200 * time.Millisecond, Work: 60 * time.Millisecond},
+	{Name: "booking", Effect: choice.Unsafe, Deadline: 2000 * time.Millisecond, Work: 30 * time.Millisecond},
+}
+
+// Limits of every run, as its settings tell them.
+const (
+	drainGrace   = time.Second
+	budgetFree   = 5
+	budgetShare  = 0.2
+	budgetSpan   = 5 * time.Second
+	attemptsMost = 3
+	connectMost  = 250 * time.Millisecond
+	idleMost     = 4 * time.Second
+)
+
+// killAfter is the earliest SIGKILL after SIGTERM: the longest deadline plus 0.7 s.
+func killAfter() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range classes {
+		longest = max(longest, c.Deadline)
+	}
+	return longest + 700*time.Millisecond
+}
+
+var effectNames = map[choice.Effect]string{choice.Safe: "retryable", choice.Keyed: "dedup", choice.Unsafe: "fragile"}
+
+var names = nodelist.Names{Halls: []string{"west"}, Kinds: []string{"std"}}
+
+// configuration is the platform's file for one start of a dispatcher.
+type configuration struct {
+	name, listen, resolver string
+	seed                   uint64
+	sockets                int
+	nodes                  []nodelist.Node
+}
+
+func (c configuration) marshal() ([]byte, error) {
+	type object = map[string]any
+	var targets []object
+	states := map[choice.EngineState]string{choice.Healthy: "active", choice.Draining: "leaving"}
+	for _, n := range c.nodes {
+		targets = append(targets, object{"uid": n.ID, "endpoint": n.Lines, "az": "west", "model": "std", "pod_group": 0,
+			"state": states[n.State], "capacity_hint": n.Weight, "boot_ms": 0})
+	}
+	var list []object
+	waits, writes, threads := []bool{}, []bool{}, []int{}
+	for _, class := range classes {
+		list = append(list, object{"name": class.Name, "credit": 1, "promiseUs": class.Deadline.Microseconds() / 2,
+			"deadlineUs": class.Deadline.Microseconds(), "effect": effectNames[class.Effect], "group": "all", "windowUs": class.Window.Microseconds()})
+		waits, writes, threads = append(waits, false), append(writes, false), append(threads, 1)
+	}
+	settings := object{"az": 0, "me": 0, "peersTotal": 1, "zones": names.Halls, "models": names.Kinds, "classes": list,
+		"familyInfo": object{"dop": threads, "kindCores": []int{64}, "ramOfKindMb": []int{131072}, "waitsForLoads": waits, "writesTables": writes},
+		"feedback":   object{"how": "piggyback", "fields": []string{"busy", "rif"}},
+		"limits": object{"connectTimeoutUs": connectMost.Microseconds(), "connIdleUs": idleMost.Microseconds(), "streamsPerConn": 100,
+			"sendCap": attemptsMost, "mostHeld": 20000, "retryAfter": true, "maxRetryAfterUs": 2000000},
+		"rules": object{"stopSendingWithinUs": drainGrace.Microseconds(), "budgetFree": budgetFree, "budgetShare": budgetShare,
+			"budgetSpanUs": budgetSpan.Microseconds()}}
+	return json.Marshal(object{"name": c.name, "listen": c.listen, "seed": "5eed", "resolver": c.resolver,
+		"limits":   object{"cores": 0.5, "memory_mb": 96, "sockets": c.sockets},
+		"known":    object{"pos": 1, "entries": []any{object{"pos": 1, "hosts": object{"all": true, "targets": targets}}}},
+		"settings": settings})
+}
