A failing test: after one misleading number of a list no drain is heard

So the answer came and was not heeded: the number in force must have been too high, or a later answer took the drain back. Numbers begin again at a restart. Tests: lists of an earlier start under their number of then, and old rows under the newest number; both have every later drain unheard, as in the incident. Also logged: answers at odds with the list in force.

--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -5,6 +5,7 @@
 import (
 	"context"
 	"errors"
+	"fmt"
 	"log/slog"
 	"math/rand/v2"
 	"net"
@@ -35,6 +36,8 @@
 	heardAt   atomic.Int64 // when the last usable answer came, in nanoseconds since began
 	began     time.Time
 
+	inForceNodes []nodelist.Node // nil: those known at the start; the Run goroutine's own
+
 	mu      sync.Mutex
 	address string
 	conn    net.Conn // nil: none is open
@@ -191,7 +194,9 @@
 		return false
 	}
 	r.heard(msg)
+	r.compare(list)
 	if list.Number > r.number {
+		r.inForceNodes = list.Nodes
 		r.number = list.Number
 		r.inForce.Store(list.Number)
 		r.told(list.Nodes)
@@ -213,6 +218,16 @@
 	}
 }
 
+// compare logs an answer that is at odds with the list in force: a lower number, or other rows under the same number.
+func (r *Resolver) compare(list nodelist.Numbered) {
+	if list.Number < r.number {
+		r.log.Warn("node list: an answer with a lower number", "number", list.Number, "version", r.number)
+	}
+	if changes := nodelist.Changes(r.inForceNodes, list.Nodes); list.Number == r.number && r.inForceNodes != nil && len(changes) > 0 {
+		r.log.Warn("node list: other rows under the same number", "version", r.number, "changes", fmt.Sprint(changes))
+	}
+}
+
 func (r *Resolver) failed(err error) {
 	r.failures.Add(1)
 	r.log.Debug("no use could be made of the name service", "error", err)
--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -89,3 +89,33 @@
 		})
 	}
 }
+
+// After a restart the numbers of lists begin again. A list of before it, under the higher number that it had then, must not make later
+// ones unheard, nor an answer that has the newest number and older rows.
+func TestDrainIsHeardAfterAMisleadingNumber(t *testing.T) {
+	for name, faults := range map[string]soak.NameFaults{"earlier start": {Earlier: 0.1}, "old rows": {OldRows: 0.3}} {
+		t.Run(name, func(t *testing.T) {
+			t.Parallel()
+			c := small(t, 2)
+			defer report(t, c)
+			for range 4 {
+				if _, err := c.Join(); err != nil {
+					t.Fatal(err)
+				}
+				wait(t.Context(), 300*time.Millisecond)
+			}
+			for _, d := range c.Dispatchers {
+				d.Kill()
+				if err := c.Restart(t.Context(), d); err != nil {
+					t.Fatal(err)
+				}
+				d.SetNameFaults(faults)
+			}
+			for _, id := range []string{"s-1", "s-2", "s-3"} {
+				wait(t.Context(), 1500*time.Millisecond)
+				c.Drain(id)
+			}
+			wait(t.Context(), 3*time.Second)
+		})
+	}
+}
--- a/soak/names.go
+++ b/soak/names.go
@@ -22,6 +22,8 @@
 	Spoilt    float64       // share of the answers that are cut short, report a failure, or hold an older list
 	Twice     float64       // share of the answers that come twice
 	BadRow    bool          // one row of each answer cannot be read
+	Earlier   float64       // share of the answers that bring a list told before the dispatcher's last start, with its number of then
+	OldRows   float64       // share of the answers that bring the rows of the list before under the number in force
 	SilentNow bool          // flows that have asked so far are never answered again; a single event
 }
 
@@ -42,6 +44,7 @@
 	rng      *rand.Rand
 	faults   NameFaults
 	versions []version // from the last start on
+	earlier  []version // told before that start
 	start    int
 	seen     map[netip.AddrPort]bool
 	silent   map[netip.AddrPort]bool
@@ -115,6 +118,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	now := s.record.now()
+	s.earlier = append(s.earlier, s.versions...)
 	s.start, s.noticed, s.versions = start, map[string]bool{}, []version{{1, now, nodes}}
 	s.told(s.versions[0], now)
 }
@@ -217,7 +221,12 @@
 		copies = 2
 	}
 	message := standin.ListAnswer(id, uint32(v.number), v.nodes, names)
-	if spoilt {
+	if s.rng.Float64() < f.Earlier && len(s.earlier) > 0 {
+		old := s.earlier[s.rng.IntN(len(s.earlier))]
+		message, spoilt = standin.ListAnswer(id, uint32(old.number), old.nodes, names), true
+	} else if s.rng.Float64() < f.OldRows && len(s.versions) > 1 {
+		message, spoilt = standin.ListAnswer(id, uint32(v.number), s.versions[len(s.versions)-2].nodes, names), true
+	} else if spoilt {
 		message = s.spoil(message, id)
 	} else if f.BadRow {
 		message = standin.ListAnswer(id, uint32(v.number), append([]nodelist.Node{unreadable}, v.nodes...), unreadableNames)
