The node list in force is decided from several answers, and late answers are heard

Cause (class: state latched by one unconfirmed message, and a retry that throws away what the try before may bring): nodelist/resolver took any higher number at once and ignored every answer under it for good, took a drain back at one answer, and closed the socket of questions that were open longer than three intervals. One unusable row spoiled a whole list. Change: member/view.go, free of I/O, decides the list in force: what takes work from a node counts at the first answer, what gives it work at the second, a return after a drain at the tenth in a row, a lower number at the fifth. The resolver asks on two sockets in turn, keeps questions open for 10 s, reads sockets that it no longer asks, opens a replacement before it gives a socket up, and asks again soon where an answer is missing or needed.

--- a/dispatcher/platform.go
+++ b/dispatcher/platform.go
@@ -92,7 +92,8 @@
 	p.front = postgres.New(postgres.Options{Log: p.log, Settings: cfg.Settings, MostSessions: cfg.Sockets - ownSockets - nodes,
 		Idle: span(cfg.OnSockets.ConnIdle)}, desk)
 	every := min(max(span(cfg.Settings.DrainGrace)/askParts, askLeast), askMost)
-	p.resolver = resolver.New(p.log, cfg.Resolver, cfg.Names, cfg.Known.Number, every, p.setNodes)
+	p.resolver = resolver.New(resolver.Options{Log: p.log, Address: cfg.Resolver, Names: cfg.Names, Known: cfg.Known, Interval: every,
+		Apply: p.setNodes})
 	if cfg.Settings.CanTell {
 		if p.peers, err = peers.Listen(cfg.PeerListen, cfg.Peers, cfg.Settings.Me); err != nil {
 			return nil, err
--- a/dispatcher/tally.go
+++ b/dispatcher/tally.go
@@ -119,7 +119,8 @@
 		t.log.Info("figures", args...)
 		list := p.resolver.Stats()
 		t.log.Info("node list figures", "version", list.Version, "age_ms", list.Age.Milliseconds(), "questions", list.Questions,
-			"answers", list.Answers, "unusable", list.Unusable, "sockets", list.Sockets)
+			"answers", list.Answers, "answer_ms", list.AnswerIn.Milliseconds(), "unusable", list.Unusable, "lower", list.Lower,
+			"reverted", list.Reverted, "sockets", list.Sockets)
 		t.logReasons()
 		if done {
 			return
--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -1,234 +1,304 @@
-// Package resolver keeps the node list by asking the platform's name service over and over. It judges nothing but whether an
-// answer can be used: numbers only ever go forward.
+// Package resolver keeps the node list by asking the platform's name service over and over. What is in force is member.View's decision.
+//
+// No answer is thrown away because it is late: a question stays open for long, and a socket that is given up for asking is still read from.
+// Questions alternate between two sockets, so that a flow which has fallen silent costs one of two answers until it is replaced. A socket is
+// closed only after its replacement has been opened.
 package resolver
 
 import (
 	"context"
 	"errors"
-	"fmt"
 	"log/slog"
-	"math/rand/v2"
-	"net"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/sync/errgroup"
+
+	"embershunt/member"
 	"embershunt/nodelist"
 )
 
-// Resolver asks one name service, which may move.
-type Resolver struct {
-	log    *slog.Logger
-	names  nodelist.Names
-	every  time.Duration
-	told   func([]nodelist.Node)
-	number int64
-	ids    []uint16 // of the questions asked last
-
-	asked map[uint16]time.Time // when each of ids was asked; the Run goroutine's own
+// Options are a resolver's settings.
+type Options struct {
+	Log      *slog.Logger
+	Address  string // of the name service
+	Names    nodelist.Names
+	Known    nodelist.Numbered     // the list that is known at the start
+	Interval time.Duration         // between two questions
+	Apply    func([]nodelist.Node) // puts a list in force; called by the goroutine of Run
+	Quick    time.Duration         // least time between two questions; 0: quickInterval
+}
 
-	failures  atomic.Int64
-	questions atomic.Int64
-	answers   atomic.Int64
-	sockets   atomic.Int64
-	inForce   atomic.Int64
-	heardAt   atomic.Int64 // when the last usable answer came, in nanoseconds since began
-	began     time.Time
+// Bounds of asking.
+const (
+	quickInterval   = 40 * time.Millisecond // least time between two questions
+	extraMost       = 6.0                   // questions beyond one an interval that may be saved up
+	extraPerAsk     = 0.5                   // of them for each regular question
+	questionLife    = 10 * time.Second      // an answer may take so long
+	questionsMost   = 512                   // open at once
+	activeSockets   = 2                     // asked in turn
+	retiredSockets  = 3                     // read from, not asked
+	retiredLife     = questionLife
+	silentQuestions = 3               // questions in a row without an answer that make a socket silent ...
+	silentIntervals = 3               // ... if they have been open for so many intervals, longer each time
+	silentMost      = 5 * time.Second // and at most this long
+	silentAnswers   = 2               // or for so many times as answers take
+	answerWeight    = 0.25            // of one answer in the mean time that they take
+	readPause       = 10 * time.Millisecond
+)
 
-	inForceNodes []nodelist.Node // nil: those known at the start; the Run goroutine's own
+// Resolver asks one name service, which may move.
+type Resolver struct {
+	options Options
+	log     *slog.Logger
+	packets chan packet
+	moved   chan struct{} // holds one token when the address has changed
+	began   time.Time
 
 	mu      sync.Mutex
 	address string
-	conn    net.Conn // nil: none is open
-}
 
-var errTooLong = errors.New("resolver: the answer is longer than an answer may be")
+	stats counters
 
-// unansweredMost is how many questions in a row may go without a usable answer before they are asked from another socket: one
-// flow alone may have fallen silent.
-const unansweredMost = 3
-
-// idsKept is how many questions may be open: answers come late.
-const idsKept = 8
-
-// New returns a resolver that asks every so often and tells of each newer list; number is that of the list known.
-func New(log *slog.Logger, address string, names nodelist.Names, number int64, every time.Duration, told func([]nodelist.Node)) *Resolver {
-	r := &Resolver{log: log, address: address, names: names, number: number, every: every, told: told,
-		asked: map[uint16]time.Time{}, began: time.Now()}
-	r.inForce.Store(number)
-	return r
+	// The goroutine of Run alone uses what follows.
+	view      *member.View
+	active    []*socket
+	retired   []*socket
+	questions map[uint16]question
+	serial    uint64        // of the question asked last
+	next      int           // place among active of the socket that is asked next
+	answerIn  time.Duration // mean time of an answer; 0: none has come
+	extra     float64       // questions beyond one an interval that may be asked now
+	regularAt time.Time     // of the next regular question
+	askedAt   time.Time     // of the last one
+	unsure    bool          // another answer is needed to decide
+	waiting   bool          // the question asked last has no answer
+	backoff   int           // sockets replaced since the last answer
+	silent    bool          // an end of answers has been logged
+	readers   errgroup.Group
 }
 
-// Stats are what a Resolver has seen since its start.
-type Stats struct {
-	Version   int64         // of the list in force
-	Age       time.Duration // since the last usable answer, or the start
-	Questions int64
-	Answers   int64 // usable ones
-	Unusable  int64 // answers that could not be used, and questions that could not be asked
-	Sockets   int64 // opened
+// question is one that is open.
+type question struct {
+	serial uint64
+	at     time.Time
 }
 
-// Stats tells what has been seen so far; it may be called from any goroutine.
-func (r *Resolver) Stats() Stats {
-	return Stats{Version: r.inForce.Load(), Age: r.age(), Questions: r.questions.Load(), Answers: r.answers.Load(),
-		Unusable: r.failures.Load(), Sockets: r.sockets.Load()}
+// packet is what a socket has brought.
+type packet struct {
+	socket  *socket
+	message []byte
+	err     error
 }
 
-func (r *Resolver) age() time.Duration { return time.Since(r.began) - time.Duration(r.heardAt.Load()) }
+var errTooLong = errors.New("resolver: the answer is longer than an answer may be")
+
+// New returns a resolver; nothing is asked before Run.
+func New(o Options) *Resolver {
+	if o.Quick == 0 {
+		o.Quick = min(quickInterval, o.Interval)
+	}
+	r := &Resolver{options: o, log: o.Log, address: o.Address, packets: make(chan packet), moved: make(chan struct{}, 1),
+		began: time.Now(), view: member.New(o.Known), questions: map[uint16]question{}, extra: extraMost}
+	r.stats.version.Store(o.Known.Number)
+	return r
+}
 
 // Move has the resolver ask at another address from now on; numbers go on.
 func (r *Resolver) Move(address string) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
-	if r.address != address {
-		r.address = address
-		if r.conn != nil {
-			r.conn.Close()
-		}
+	if r.address == address {
+		return
+	}
+	r.address = address
+	select {
+	case r.moved <- struct{}{}:
+	default:
 	}
 }
 
-// Failures counts the answers that could not be used, and questions that could not be asked.
-func (r *Resolver) Failures() int64 { return r.failures.Load() }
+func (r *Resolver) target() string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.address
+}
 
 // Run asks until ctx ends.
 func (r *Resolver) Run(ctx context.Context) {
-	stop := context.AfterFunc(ctx, func() {
-		r.mu.Lock()
-		defer r.mu.Unlock()
-		if r.conn != nil {
-			r.conn.Close()
-		}
-	})
-	defer stop()
-	tick := time.NewTicker(r.every)
-	defer tick.Stop()
-	for ctx.Err() == nil {
-		conn, err := r.open(ctx)
-		if err != nil {
-			r.failed(err)
-			select {
-			case <-ctx.Done():
-			case <-tick.C:
-			}
-			continue
+	defer r.close()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-r.moved:
+			r.replaceAll(ctx)
+			r.ask(ctx)
+		case p := <-r.packets:
+			r.receive(p)
+		case <-timer.C:
+			r.ask(ctx)
 		}
-		r.ask(ctx, conn)
-		conn.Close()
+		timer.Reset(time.Until(r.nextAt()))
 	}
 }
 
-func (r *Resolver) open(ctx context.Context) (net.Conn, error) {
-	r.mu.Lock()
-	defer r.mu.Unlock()
-	if ctx.Err() != nil {
-		return nil, ctx.Err()
+// nextAt is when the next question is due: a regular one, or an extra one where an answer is wanted soon.
+func (r *Resolver) nextAt() time.Time {
+	at := r.regularAt
+	if r.extra < 1 {
+		return at
 	}
-	var err error
-	r.conn, err = net.Dial("udp", r.address)
-	if err == nil {
-		r.sockets.Add(1)
+	wait := time.Duration(-1)
+	switch {
+	case r.unsure && !r.waiting:
+		wait = r.options.Quick
+	case r.waiting:
+		wait = max(r.options.Quick, 2*r.answerIn)
+	}
+	if soon := r.askedAt.Add(wait); wait >= 0 && soon.Before(at) {
+		return soon
 	}
-	return r.conn, err
+	return at
 }
 
-// ask asks on one socket until it is closed, or brings no answers.
-func (r *Resolver) ask(ctx context.Context, conn net.Conn) {
-	buf := make([]byte, nodelist.AnswerMost+1)
-	for unanswered := 0; ctx.Err() == nil && unanswered < unansweredMost; unanswered++ {
-		id := uint16(rand.Uint32())
-		if r.ids = append(r.ids, id); len(r.ids) > idsKept {
-			delete(r.asked, r.ids[0])
-			r.ids = r.ids[1:]
-		}
-		r.asked[id] = time.Now()
-		r.questions.Add(1)
-		question, err := nodelist.Question(id)
-		if err != nil {
-			r.failed(err)
-			return
-		}
-		if _, err := conn.Write(question); errors.Is(err, net.ErrClosed) {
-			return
-		}
-		next := time.Now().Add(r.every)
-		conn.SetReadDeadline(next)
-		for {
-			n, err := conn.Read(buf)
-			if errors.Is(err, net.ErrClosed) {
-				return
-			}
-			if err == nil {
-				if r.take(buf[:n]) {
-					unanswered = -1
-				}
-				continue
-			}
-			if time.Now().Before(next) { // nobody listens there, for now
-				r.failed(err)
-				select {
-				case <-ctx.Done():
-				case <-time.After(time.Until(next)):
-				}
-			}
-			break
-		}
+// ask asks one question, on the socket whose turn it is.
+func (r *Resolver) ask(ctx context.Context) {
+	now := time.Now()
+	if now.Before(r.regularAt) {
+		r.extra--
+	} else {
+		r.extra = min(extraMost, r.extra+extraPerAsk)
+		r.regularAt = now.Add(r.options.Interval)
+	}
+	r.askedAt = now
+	r.tend(ctx, now)
+	if len(r.active) == 0 {
+		return
 	}
-	if ctx.Err() == nil {
-		r.log.Warn("node list: no usable answer; asking from another socket", "age_ms", r.age().Milliseconds(),
-			"version", r.number, "questions", r.questions.Load(), "unusable", r.failures.Load())
+	r.next = (r.next + 1) % len(r.active)
+	s := r.active[r.next]
+	id := r.newQuestion(now)
+	message, err := nodelist.Question(id)
+	if err == nil {
+		_, err = s.conn.Write(message)
+	}
+	if err != nil {
+		delete(r.questions, id)
+		r.failed("a question could not be asked", err)
+		return
 	}
+	r.stats.questions.Add(1)
+	r.waiting = true
+	s.asked(now)
 }
 
-// take takes an answer; false where it is of no use.
-func (r *Resolver) take(msg []byte) bool {
-	if len(msg) > nodelist.AnswerMost {
-		r.failed(errTooLong)
-		return false
+// receive takes what a socket has brought.
+func (r *Resolver) receive(p packet) {
+	if p.err != nil { // such as: nobody listens there
+		r.failed("the name service is not there", p.err)
+		return
 	}
-	list, err := nodelist.ParseAnswer(msg, func(id uint16) bool { return slices.Contains(r.ids, id) }, r.names)
+	q, list, err := r.parse(p.message)
 	if err != nil {
-		r.failed(err)
-		return false
+		r.failed("an answer cannot be used", err)
+		return
 	}
-	r.heard(msg)
-	r.compare(list)
-	if list.Number > r.number {
-		r.inForceNodes = list.Nodes
-		r.number = list.Number
-		r.inForce.Store(list.Number)
-		r.told(list.Nodes)
+	now := time.Now()
+	r.heard(now, q, p.socket)
+	for _, row := range list.Skipped {
+		r.failed("a row cannot be used", row.Err)
 	}
-	return true
+	r.observe(q, list)
 }
 
-// ageLogged is the age of a list from which on its end is logged.
-const ageLogged = 2
+// parse reads an answer to a question that is open.
+func (r *Resolver) parse(message []byte) (question, nodelist.Numbered, error) {
+	if len(message) > nodelist.AnswerMost {
+		return question{}, nodelist.Numbered{}, errTooLong
+	}
+	var q question
+	list, err := nodelist.ParseAnswer(message, func(id uint16) (open bool) { q, open = r.questions[id]; return open }, r.options.Names)
+	return q, list, err
+}
 
-// heard notes a usable answer.
-func (r *Resolver) heard(msg []byte) {
-	age := r.age()
-	r.answers.Add(1)
-	r.heardAt.Store(int64(time.Since(r.began)))
-	if age > ageLogged*r.every {
-		id := uint16(msg[0])<<8 | uint16(msg[1])
-		r.log.Info("node list: answered again", "age_ms", age.Milliseconds(), "answer_ms", time.Since(r.asked[id]).Milliseconds())
+// heard notes that a usable answer has come.
+func (r *Resolver) heard(now time.Time, q question, s *socket) {
+	took, age := now.Sub(q.at), r.age()
+	if r.answerIn == 0 {
+		r.answerIn = took
+	}
+	r.answerIn += time.Duration(answerWeight * float64(took-r.answerIn))
+	s.heard()
+	if q.serial == r.serial {
+		r.waiting = false
+	}
+	r.backoff = 0
+	r.stats.answers.Add(1)
+	r.stats.heardAt.Store(int64(now.Sub(r.began)))
+	r.stats.answerIn.Store(int64(r.answerIn))
+	if r.silent {
+		r.silent = false
+		r.log.Info("node list: answered again", "age_ms", age.Milliseconds(), "answer_ms", took.Milliseconds())
 	}
 }
 
-// compare logs an answer that is at odds with the list in force: a lower number, or other rows under the same number.
-func (r *Resolver) compare(list nodelist.Numbered) {
-	if list.Number < r.number {
-		r.log.Warn("node list: an answer with a lower number", "number", list.Number, "version", r.number)
+// observe lets the view decide what a list changes.
+func (r *Resolver) observe(q question, list nodelist.Numbered) {
+	before := r.view.Number()
+	if list.Number < before {
+		r.stats.lower.Add(1)
 	}
-	if changes := nodelist.Changes(r.inForceNodes, list.Nodes); list.Number == r.number && r.inForceNodes != nil && len(changes) > 0 {
-		r.log.Warn("node list: other rows under the same number", "version", r.number, "changes", fmt.Sprint(changes))
+	u := r.view.Observe(member.Answer{Question: q.serial, Numbered: list})
+	r.unsure = u.Unsure
+	if u.Reverted {
+		r.stats.reverted.Add(1)
+		r.log.Warn("node list: its number was wrong and goes back", "from", before, "to", r.view.Number())
 	}
+	r.stats.version.Store(r.view.Number())
+	if u.Changed {
+		r.options.Apply(r.view.Nodes())
+	}
+}
+
+func (r *Resolver) failed(what string, err error) {
+	r.stats.unusable.Add(1)
+	r.log.Debug("node list: "+what, "error", err)
+}
+
+// counters are a resolver's figures, read by other goroutines.
+type counters struct {
+	version, questions, answers, unusable, lower, reverted, sockets atomic.Int64
+	heardAt                                                         atomic.Int64 // when the last usable answer came, in nanoseconds since the start
+	answerIn                                                        atomic.Int64 // nanoseconds
+}
+
+// Stats are what a Resolver has seen since its start.
+type Stats struct {
+	Version   int64         // of the list in force
+	Age       time.Duration // since the last usable answer, or the start
+	AnswerIn  time.Duration // mean time of an answer
+	Questions int64
+	Answers   int64 // usable ones
+	Unusable  int64 // answers and rows that could not be used, and questions that could not be asked
+	Lower     int64 // answers under a lower number than the one in force
+	Reverted  int64 // times that the number in force was found to be wrong
+	Sockets   int64 // opened
 }
 
-func (r *Resolver) failed(err error) {
-	r.failures.Add(1)
-	r.log.Debug("no use could be made of the name service", "error", err)
+// Stats tells what has been seen so far; it may be called from any goroutine.
+func (r *Resolver) Stats() Stats {
+	c := &r.stats
+	return Stats{Version: c.version.Load(), Age: r.age(), AnswerIn: time.Duration(c.answerIn.Load()), Questions: c.questions.Load(),
+		Answers: c.answers.Load(), Unusable: c.unusable.Load(), Lower: c.lower.Load(), Reverted: c.reverted.Load(), Sockets: c.sockets.Load()}
+}
+
+// Failures counts the answers that could not be used, and questions that could not be asked.
+func (r *Resolver) Failures() int64 { return r.stats.unusable.Load() }
+
+func (r *Resolver) age() time.Duration {
+	return time.Since(r.began) - time.Duration(r.stats.heardAt.Load())
 }
