One module permits what may be started, sent, repeated or closed; violations are counted

Need: the check that keeps work from draining nodes stood in three places, and nothing told whether an act broke a rule. permit/ is free of I/O and is asked at the moment of the act: the ledger (take, send, repeat), attempts over lines, Flight SQL and the native protocol before their first byte (the last two did not look at drains after a late connection at all), platform sessions before a close. After the first byte the attempt is checked again; violations are counted by reason and logged with ids, in the log and as metrics. Audit of the same class, each with a test: errors of accept other than EMFILE closed idle clients, and cut one that could owe a refusal; errors of this machine at connect counted against the node; a request could block a second in a write after its check, now 0.2 s; the end of a drain ran on the wall clock; a node's start is bounded by the list before it, whatever the wall clock says.

--- a/dispatch/change.go
+++ b/dispatch/change.go
@@ -102,7 +102,7 @@
 		}
 	}
 	c.numbers.add(ch.Version, ch.Settings)
-	c.most = ch.Settings.MaxHeld
+	c.most, c.classes = ch.Settings.MaxHeld, ch.Settings.Classes
 	c.observe.Changed(ch.Version, ch.Settings)
 	return nil
 }
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -9,6 +9,7 @@
 	"runtime/debug"
 
 	"embershunt/choice"
+	"embershunt/permit"
 )
 
 // Core is a gateway with its ledger. It is not safe for concurrent use.
@@ -24,6 +25,7 @@
 	numbers  numbering
 	seed     uint64
 	settings choice.Settings // at the start
+	classes  []choice.Class  // of the settings in force
 	learned  *choice.Learned // that it began with; nil: nothing
 	fresh    bool
 	recorder Recorder // nil: none
@@ -60,7 +62,7 @@
 	if err != nil {
 		return nil, err
 	}
-	return &Core{seed: seed, settings: s, gateway: g, fleet: f, observe: o, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}},
+	return &Core{seed: seed, settings: s, gateway: g, fleet: f, observe: o, classes: s.Classes, most: s.MaxHeld, books: ledger{entries: map[string]*entry{}},
 		numbers: newNumbering(s)}, nil
 }
 
@@ -198,10 +200,10 @@
 }
 
 func (c *Core) take(now Micros, q *Query) {
-	switch {
-	case c.draining:
+	switch why := (permit.Intake{Stopping: c.draining, Held: c.Held(), Most: c.most}).Start(); {
+	case why == permit.Stopping:
 		c.turnAway(now, q, ReasonDraining)
-	case c.most > 0 && c.Held() >= c.most:
+	case why == permit.Full:
 		c.turnAway(now, q, ReasonFull)
 	case !c.numbers.renumber(q):
 		c.turnAway(now, q, ReasonClassGone)
@@ -360,6 +362,14 @@
 	return e
 }
 
+// class is a query's, by the settings in force; the zero value where there is none.
+func (c *Core) class(q *Query) choice.Class {
+	if q.Class >= 0 && q.Class < len(c.classes) {
+		return c.classes[q.Class]
+	}
+	return choice.Class{}
+}
+
 func (c *Core) send(now Micros, s choice.Send) {
 	if n, ok := c.books.late(s.ID); ok { // it was decided before the module heard of the end: its books are closed too
 		c.extra = append(c.extra, choice.Outcome{ID: s.ID, Attempt: n, Engine: s.Engine, Code: choice.Moot, Over: true})
@@ -369,7 +379,7 @@
 	if e == nil {
 		return
 	}
-	n, ok := c.books.send(now, e, s.Engine)
+	n, ok := c.books.send(now, e, s.Engine, c.class(e.q))
 	if !ok { // the module numbers it all the same, and is told that it never left
 		c.extra = append(c.extra, choice.Outcome{ID: s.ID, Attempt: n, Engine: s.Engine,
 			Code: choice.Moot, Over: e.final != 0})
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -110,6 +110,10 @@
 	}
 }
 
+// effectOf is the effect of the cases whose class is not safe to repeat.
+var effectOf = map[string]choice.Effect{"a repeat of what may have run is withheld": choice.Unsafe,
+	"a second copy of what is out is withheld": choice.Unsafe, "what never ran is sent again": choice.Unsafe}
+
 // What the ledger lets through and what it withholds, whatever the module says.
 func TestLedgerGivesOneAnswer(t *testing.T) {
 	send := choice.Send{ID: "q", Engine: "n1"}
@@ -152,6 +156,12 @@
 			"send q/0 n1; send q/1 n2; open q/1; cancel q/0; answer q served ", nil},
 		{"no further attempt once an answer flows", []step{{0, nil, []choice.Action{send}},
 			{5, []Event{Begun{"q", 0}}, []choice.Action{send2}}}, "send q/0 n1; open q/0", []FaultKind{FaultLateSend}},
+		{"a repeat of what may have run is withheld", []step{{0, nil, []choice.Action{send}},
+			{5, []Event{ended(0, choice.Reset)}, []choice.Action{send2}}}, "send q/0 n1", []FaultKind{FaultForbidden}},
+		{"a second copy of what is out is withheld", []step{{0, nil, []choice.Action{send}}, {5, nil, []choice.Action{send2}}},
+			"send q/0 n1", []FaultKind{FaultForbidden}},
+		{"what never ran is sent again", []step{{0, nil, []choice.Action{send}},
+			{5, []Event{ended(0, choice.Full)}, []choice.Action{send2}}}, "send q/0 n1; send q/1 n2", nil},
 		{"a broken stream is failed at once", []step{{0, nil, []choice.Action{send}}, {5, []Event{Begun{"q", 0}}, nil},
 			{9, []Event{ended(0, choice.Reset)}, nil}}, "send q/0 n1; open q/0; answer q failed ANSWER_BROKEN", nil},
 		{"a stalled stream is cut off at the deadline, no fault", []step{{0, nil, []choice.Action{send}},
@@ -170,6 +180,7 @@
 		t.Run(c.name, func(t *testing.T) {
 			log, s := &tape{}, &scripted{}
 			core := newTestCore(s, log)
+			core.classes = []choice.Class{{Effect: effectOf[c.name]}}
 			first := []Event{Taken{log.query("q", 100*ms)}}
 			for i, st := range c.steps {
 				s.say = func(Micros, []choice.Event) []choice.Action {
--- a/dispatch/ledger.go
+++ b/dispatch/ledger.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"embershunt/choice"
+	"embershunt/permit"
 )
 
 // entry is one query on the books, from Taken until it has its final answer and all its attempts have ended.
@@ -29,6 +30,7 @@
 	node      string
 	sent      Micros
 	ended     bool
+	code      choice.Code // of its end
 	cancelled bool
 }
 
@@ -86,13 +88,14 @@
 	FaultDoubleAnswer FaultKind = "double_answer" // a second final answer, withheld
 	FaultForgotten    FaultKind = "forgotten"     // the deadline came and the module had given no answer
 	FaultLateSend     FaultKind = "late_send"     // a send after the final answer or the deadline, withheld
+	FaultForbidden    FaultKind = "forbidden"     // a repeat that could have an effect twice, withheld
 	FaultUnknown      FaultKind = "unknown_query" // an action that names a query which is not on the books
 	FaultDoubleID     FaultKind = "double_id"     // a query with an id that is on the books, turned away
 )
 
 // FaultKinds lists all of them, for counters that start at nothing.
 var FaultKinds = []FaultKind{FaultLateOutcome, FaultDoubleEnd, FaultDoubleAnswer, FaultForgotten, FaultLateSend,
-	FaultUnknown, FaultDoubleID}
+	FaultForbidden, FaultUnknown, FaultDoubleID}
 
 // ledger gives each query exactly one final answer.
 type ledger struct {
@@ -166,12 +169,25 @@
 	return n, ok
 }
 
+// repeating is what is known of a query of which another attempt would be sent; class is that of the settings in force.
+func (e *entry) repeating(now Micros, class choice.Class) permit.Repeating {
+	r := permit.Repeating{Now: now, Due: e.q.Due, Answered: e.final != 0 || e.opened >= 0, Effect: class.Effect, Window: class.Window}
+	for _, a := range e.attempts {
+		r.Earlier = append(r.Earlier, permit.Attempt{Sent: a.sent, Ended: a.ended, Code: a.code})
+	}
+	return r
+}
+
 // send books an attempt; false where it must not leave.
-func (l *ledger) send(now Micros, e *entry, node string) (n int, ok bool) {
+func (l *ledger) send(now Micros, e *entry, node string, class choice.Class) (n int, ok bool) {
 	n = len(e.attempts)
-	if e.final != 0 || now >= e.q.Due || e.opened >= 0 {
-		l.fault(FaultLateSend, e.q.ID, e)
-		e.attempts = append(e.attempts, attempt{node: node, sent: now, ended: true}) // the module numbers it too
+	if why := e.repeating(now, class).Repeat(); why != permit.Permitted {
+		kind := FaultLateSend
+		if why == permit.MayHaveRun || why == permit.Window {
+			kind = FaultForbidden
+		}
+		l.fault(kind, e.q.ID, e)
+		e.attempts = append(e.attempts, attempt{node: node, sent: now, ended: true, code: choice.Moot}) // the module numbers it too
 		return n, false
 	}
 	e.attempts = append(e.attempts, attempt{node: node, sent: now})
@@ -192,7 +208,7 @@
 		l.fault(FaultDoubleEnd, ev.ID, e)
 		return nil
 	}
-	a.ended = true
+	a.ended, a.code = true, ev.Code
 	e.out--
 	e.last = ev
 	e.mark(now, "ended", ev.N, int(ev.Code))
--- a/dispatcher/dispatcher.go
+++ b/dispatcher/dispatcher.go
@@ -91,7 +91,7 @@
 		return nil, fmt.Errorf("keys: %w", err)
 	}
 	d.fleet = fleet.New(fleet.Options{Log: d.log, Clock: d.clock, ConnectTimeout: f.Sending.Connect.D(),
-		MaxFrame: f.Sending.MaxFrame, NativeUser: f.Sending.NativeUser, NativePassword: f.Sending.NativePass})
+		DrainGrace: time.Duration(cfg.Settings.DrainGrace) * time.Microsecond, MaxFrame: f.Sending.MaxFrame, NativeUser: f.Sending.NativeUser, NativePassword: f.Sending.NativePass})
 	observer := newObserver(d.log, d.registry, o.Tracer, cfg)
 	core, err := dispatch.NewCore(o.Seed, cfg.Settings, d.fleet, observer)
 	if err != nil {
--- a/dispatcher/observe.go
+++ b/dispatcher/observe.go
@@ -16,6 +16,7 @@
 	"embershunt/fleet"
 	"embershunt/front"
 	"embershunt/front/clickhouse"
+	"embershunt/permit"
 )
 
 // observer turns what the loop does into metrics, log lines and spans. All but the collectors' own locks is used by
@@ -114,6 +115,19 @@
 		prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: "embershunt", Name: "drain_last_send_seconds",
 			Help: "Longest time from a drain notice to a send to that node after it; 0: none was sent."},
 			func() float64 { return f.LastSendAfterDrain().Seconds() }))
+	o.watchAudit(f.Audit())
+}
+
+// watchAudit adds the counts of acts that were not permitted.
+func (o *observer) watchAudit(a *permit.Audit) {
+	for _, reason := range permit.All() {
+		labels := prometheus.Labels{"reason": reason.String()}
+		o.registry.MustRegister(
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "attempts_withheld_total", ConstLabels: labels,
+				Help: "Attempts that were not permitted when they would have begun."}, func() float64 { return float64(a.Withheld(reason)) }),
+			prometheus.NewCounterFunc(prometheus.CounterOpts{Namespace: "embershunt", Name: "rule_violations_total", ConstLabels: labels,
+				Help: "Attempts that began against a rule; must be 0."}, func() float64 { return float64(a.Violated(reason)) }))
+	}
 }
 
 // watchSessions adds the figures of sessions.
--- a/dispatcher/platform.go
+++ b/dispatcher/platform.go
@@ -77,7 +77,8 @@
 	span := func(us choice.Micros) time.Duration { return time.Duration(us) * time.Microsecond }
 	nodes := int(float64(cfg.Sockets-ownSockets) * nodesPart)
 	p.fleet = fleet.New(fleet.Options{Log: p.log, Clock: p.clock, ConnectTimeout: span(cfg.OnSockets.ConnectTimeout),
-		LinesMost: nodes, LinesShared: cfg.OnSockets.StreamsPerConn, LinesIdle: span(cfg.OnSockets.ConnIdle) / 2})
+		LinesMost: nodes, LinesShared: cfg.OnSockets.StreamsPerConn, LinesIdle: span(cfg.OnSockets.ConnIdle) / 2,
+		DrainGrace: span(cfg.Settings.DrainGrace)})
 	settings := cfg.Settings
 	if most := cfg.Sockets / clientsPart; settings.MaxHeld == 0 || settings.MaxHeld > most {
 		settings.MaxHeld = most
--- a/dispatcher/tally.go
+++ b/dispatcher/tally.go
@@ -122,6 +122,7 @@
 			"answers", list.Answers, "answer_ms", list.AnswerIn.Milliseconds(), "unusable", list.Unusable, "lower", list.Lower,
 			"reverted", list.Reverted, "sockets", list.Sockets)
 		t.logReasons()
+		t.logAudit(p)
 		if done {
 			return
 		}
@@ -141,4 +142,15 @@
 	}
 }
 
+// logAudit logs how often attempts were withheld, and rules violated, by reason.
+func (t *tally) logAudit(p *Platform) {
+	var args []any
+	for _, c := range p.fleet.Audit().Counts() {
+		args = append(args, c.Reason.String()+"_withheld", c.Withheld, c.Reason.String()+"_violated", c.Violated)
+	}
+	if len(args) > 0 {
+		t.log.Info("attempts not permitted", args...)
+	}
+}
+
 var _ dispatch.Observer = (*tally)(nil)
--- a/fleet/attempt.go
+++ b/fleet/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"embershunt/choice"
@@ -37,8 +38,10 @@
 	load   *choice.Load
 	notRun bool // the node proved that nothing ran
 	unsent bool // nothing that could run has been written yet
-	workUs int64
-	needMB float64
+
+	cancelledAt atomic.Int64 // when the query's client left or it was called off, by the dispatcher's clock; 0: neither
+	workUs      int64
+	needMB      float64
 
 	carrier carrier
 }
@@ -123,6 +126,7 @@
 // Cancel implements dispatch.Fleet.
 func (f *Fleet) Cancel(id string, n int) {
 	if t := f.attempt(id, n); t != nil {
+		t.cancelledAt.CompareAndSwap(0, f.clock.Now())
 		t.cancel(errCancelled)
 	}
 }
@@ -158,7 +162,7 @@
 		return choice.Failed, true
 	case errors.Is(err, errNotConnected), errors.Is(err, errUnknownNode), errors.Is(err, errOtherWork):
 		return choice.Refused, false
-	case errors.Is(err, errUnsent): // whatever ended it: it proves nothing of the node
+	case errors.Is(err, errUnsent), errors.Is(err, errLocal): // whatever ended it: it proves nothing of the node
 		return choice.Moot, false
 	case errors.Is(cause, errTimedOut) && t.unsent:
 		return choice.Refused, false
--- a/fleet/fleet.go
+++ b/fleet/fleet.go
@@ -16,6 +16,7 @@
 	"embershunt/choice"
 	"embershunt/dispatch"
 	"embershunt/nodelist"
+	"embershunt/permit"
 )
 
 // Options are the fleet's settings; zero values mean the defaults.
@@ -32,6 +33,7 @@
 	LinesMost      int           // connections held to nodes that speak lines, all together; default 256
 	LinesShared    int           // attempts that share one of them where there are no more; default 100
 	LinesIdle      time.Duration // one without an attempt is closed after this; default 10 s
+	DrainGrace     time.Duration // nothing new begins at a node so long after it was told to drain
 }
 
 // Poster takes what the fleet has seen; *dispatch.Loop is one.
@@ -59,12 +61,14 @@
 	mu       sync.Mutex
 	closed   bool
 	nodes    map[string]*node
+	listedAt choice.Micros         // when the list in force was taken; 0: there is none
 	attempts map[string][]*attempt // those out, by query
 	sessions map[string]*sessionConn
 
 	listFailures atomic.Int64
 	linesOpen    atomic.Int64 // connections to nodes that speak lines
 	drains       drains
+	audit        permit.Audit
 }
 
 var _ dispatch.Fleet = (*Fleet)(nil)
@@ -136,6 +140,9 @@
 // The module alone keeps nodes that drain free of new work: this only measures it.
 func (f *Fleet) LastSendAfterDrain() time.Duration { return f.drains.longest() }
 
+// Audit counts attempts that were not permitted at the moment they would have begun, and those that began against a rule.
+func (f *Fleet) Audit() *permit.Audit { return &f.audit }
+
 // ListFailures counts the node lists that failed or could not be used.
 func (f *Fleet) ListFailures() int64 { return f.listFailures.Load() }
 
--- a/fleet/flight.go
+++ b/fleet/flight.go
@@ -17,6 +17,7 @@
 
 	"embershunt/choice"
 	"embershunt/internal/flightwire"
+	"embershunt/permit"
 )
 
 // fate is what the transport knows of an attempt's calls. It tells "may have run" from "never sent".
@@ -115,6 +116,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if t.mayBegin(ctx, n) != permit.Permitted { // the connection may have taken long to come up
+		return nil, errUnsent
+	}
 	t.conn = conn
 	ctx = context.WithValue(ctx, fateKey{}, &t.fate)
 	ctx = metadata.NewOutgoingContext(ctx, t.headers())
--- a/fleet/lines.go
+++ b/fleet/lines.go
@@ -14,6 +14,7 @@
 
 	"embershunt/choice"
 	"embershunt/internal/lineproto"
+	"embershunt/permit"
 )
 
 // Errors of attempts over lines.
@@ -73,6 +74,9 @@
 		if ctx.Err() != nil { // the attempt is over: that tells nothing of the node
 			return nil, errUnsent
 		}
+		if isLocal(err) { // it says nothing of the node
+			return nil, errors.Join(errLocal, err)
+		}
 		if dial.Err() != nil { // what does not come up has not been alive on older connections either
 			p.closeIdle()
 		}
@@ -284,18 +288,22 @@
 	}
 }
 
-// writeWithin bounds the writing of one command: a node that does not read must not hold the attempt for long.
-const writeWithin = time.Second
+// Bounds of the writing of one command: a node that does not read must not hold the attempt for long. A request has less time: what
+// permits it to begin is known before it is written, and its first byte leaves at the end of a write that blocks.
+const (
+	writeWithin = time.Second
+	beginWithin = 200 * time.Millisecond
+)
 
 func (c *linesConn) write(b []byte) (int, error) {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
-	return c.put(b)
+	return c.put(b, writeWithin)
 }
 
-// put writes one command; c.wmu is held.
-func (c *linesConn) put(b []byte) (int, error) {
-	c.conn.SetWriteDeadline(time.Now().Add(writeWithin))
+// put writes one command within some time; c.wmu is held.
+func (c *linesConn) put(b []byte, within time.Duration) (int, error) {
+	c.conn.SetWriteDeadline(time.Now().Add(within))
 	return c.conn.Write(b)
 }
 
@@ -365,15 +373,19 @@
 func (t *linesAttempt) begin(ctx context.Context, n *node, c *linesConn) (written int, err error) {
 	c.wmu.Lock()
 	defer c.wmu.Unlock()
-	q, now := *t.call, t.f.clock.Now()
-	q.TTL = (int64(t.a.Until-now) + 999) / 1000
-	if ctx.Err() != nil || q.TTL <= 0 || !n.takes() || t.a.Before > 0 && now >= t.a.Before {
+	if t.mayBegin(ctx, n) != permit.Permitted {
 		return 0, errUnsent
 	}
+	q := *t.call
+	q.TTL = (int64(t.a.Until-t.f.clock.Now()) + 999) / 1000
 	if t.a.HasTerms {
 		q.MemoryMB, q.Priority = int64(t.a.MemoryMB), t.a.Priority
 	}
-	return c.put(q.Append(make([]byte, 0, len(q.Text)+200)))
+	written, err = c.put(q.Append(make([]byte, 0, len(q.Text)+200)), beginWithin)
+	if written > 0 {
+		t.begunAt(n)
+	}
+	return written, err
 }
 
 // wait gathers the answer.
@@ -581,6 +593,9 @@
 	}
 	defer f.linesOpen.Add(-1)
 	conn, err := f.dialLines(ctx, n.lines.address)
+	if isLocal(err) {
+		return choice.Moot
+	}
 	if err != nil {
 		return choice.Refused
 	}
--- a/fleet/list.go
+++ b/fleet/list.go
@@ -17,6 +17,7 @@
 		return err
 	}
 	event := choice.Engines{Whole: true}
+	now := f.clock.Now()
 	f.mu.Lock()
 	listed := map[string]bool{}
 	for _, n := range nodes {
@@ -29,7 +30,7 @@
 	for _, id := range slices.Sorted(maps.Keys(f.nodes)) {
 		if n := f.nodes[id]; !listed[id] {
 			n.gone = true
-			n.shut.Store(true)
+			n.notice(now, false)
 			f.drains.notice(id, true)
 			if n.users == 0 {
 				idle = append(idle, n)
@@ -37,6 +38,7 @@
 			}
 		}
 	}
+	f.listedAt = now
 	f.mu.Unlock()
 	for _, n := range idle {
 		n.close()
@@ -62,23 +64,23 @@
 	if n != nil && n.started.Equal(row.Started) {
 		at = n.startedAt
 	} else {
-		at = f.clockTime(row.Started)
+		at = f.startOf(row)
 	}
 	if n != nil && n.address == row.Address && n.native == row.Native && n.lines.address == row.Lines {
 		n.gone, n.started, n.startedAt = false, row.Started, at
-		n.shut.Store(row.State != choice.Healthy)
+		n.notice(f.clock.Now(), row.State == choice.Healthy)
 		return at
 	}
 	if n != nil { // attempts that are out keep the old connection until they end
 		n.gone = true
-		n.shut.Store(true)
+		n.notice(f.clock.Now(), false)
 		if n.users == 0 {
 			n.close()
 		}
 	}
 	n = &node{id: row.ID, address: row.Address, native: row.Native, started: row.Started, startedAt: at,
 		lines: linesPool{address: row.Lines}}
-	n.shut.Store(row.State != choice.Healthy)
+	n.notice(f.clock.Now(), row.State == choice.Healthy)
 	f.nodes[row.ID] = n
 	return at
 }
@@ -88,6 +90,19 @@
 	if t.IsZero() {
 		return 0
 	}
-	at := f.clock.Now() - time.Since(t).Microseconds()
-	return max(at, 0)
+	now := f.clock.Now()
+	return min(max(now-time.Since(t).Microseconds(), 0), now)
+}
+
+// listedWithin is how long after its start a node is on the list at the latest.
+const listedWithin = 5 * time.Second
+
+// startOf is the start of a node by the dispatcher's clock. One that a list before did not have has started not long before that list,
+// whatever the wall clock says; f.mu is held.
+func (f *Fleet) startOf(row nodelist.Node) choice.Micros {
+	at := f.clockTime(row.Started)
+	if at > 0 && f.listedAt > 0 && f.nodes[row.ID] == nil {
+		at = max(at, f.listedAt-listedWithin.Microseconds())
+	}
+	return at
 }
--- a/fleet/native.go
+++ b/fleet/native.go
@@ -16,6 +16,7 @@
 	"embershunt/choice"
 	"embershunt/dispatch"
 	"embershunt/internal/native"
+	"embershunt/permit"
 	"embershunt/session"
 )
 
@@ -210,18 +211,28 @@
 			return nil, err
 		}
 	}
+	if t.mayBegin(ctx, n) != permit.Permitted { // the connection may have taken long to come up
+		t.putBack(n, c)
+		return nil, errUnsent
+	}
 	stop := context.AfterFunc(ctx, func() { c.conn.SetDeadline(time.Unix(1, 0)) })
 	t.unsent = true
 	clean, result, err := t.speak(ctx, c)
-	switch {
-	case !stop() || !clean:
+	if !stop() || !clean {
 		t.giveUp(c)
-	case t.call.Session != "":
+	} else {
+		t.putBack(n, c)
+	}
+	return result, err
+}
+
+// putBack keeps a connection on which nothing is open.
+func (t *nativeAttempt) putBack(n *node, c *nativeConn) {
+	if t.call.Session != "" {
 		t.f.keepSession(t.call.Session, n, c)
-	default:
+	} else {
 		n.keep(c)
 	}
-	return result, err
 }
 
 // sessionConn is the connection to a node on which a session's state lives.
--- a/fleet/node.go
+++ b/fleet/node.go
@@ -25,7 +25,7 @@
 	users       int           // calls that hold it; under Fleet.mu
 	gone        bool          // left the list, or moved to another address; under Fleet.mu
 
-	shut     atomic.Bool  // drains, or has gone: nothing may begin there any more
+	notified atomic.Int64 // when it was told that the node drains or is gone, by the dispatcher's clock; 0: it is ready
 	revision atomic.Int64 // newest of the native protocol that it speaks; 0: not known yet
 
 	mu     sync.Mutex
@@ -62,8 +62,14 @@
 	return conn, nil
 }
 
-// takes tells whether work may begin there, as far as is known now.
-func (n *node) takes() bool { return !n.shut.Load() }
+// notice notes whether the list calls the node ready.
+func (n *node) notice(now choice.Micros, ready bool) {
+	if ready {
+		n.notified.Store(0)
+	} else {
+		n.notified.CompareAndSwap(0, now)
+	}
+}
 
 // ready waits until the connection is up, at most for the connect time-out. What fails here was never sent.
 func (n *node) ready(ctx context.Context, o *Options) (*grpc.ClientConn, error) {
--- /dev/null
+++ b/fleet/permit_test.go
@@ -0,0 +1,93 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/dispatch"
+	"embershunt/nodelist"
+	"embershunt/permit"
+	"embershunt/standin"
+)
+
+// An error of this machine at a connect tells nothing of the node and proves that nothing ran; a refused connection is the node's.
+func TestLocalConnectErrors(t *testing.T) {
+	for errno, want := range map[syscall.Errno]choice.Code{syscall.EMFILE: choice.Moot, syscall.ENFILE: choice.Moot, syscall.ENOBUFS: choice.Moot,
+		syscall.EADDRNOTAVAIL: choice.Moot, syscall.ENETUNREACH: choice.Moot, syscall.ECONNREFUSED: choice.Refused,
+		syscall.EHOSTUNREACH: choice.Refused, syscall.ETIMEDOUT: choice.Refused} {
+		f := newLineFleet(t, Options{}, "127.0.0.1:1")
+		f.dialLines = func(context.Context, string) (net.Conn, error) {
+			return nil, &net.OpError{Op: "dial", Err: os.NewSyscallError("connect", errno)}
+		}
+		f.send("id", 0, "n0", time.Second)
+		if end := f.end(); end.Code != want {
+			t.Errorf("%v: code %d (%v), want %d", errno, end.Code, end.Err, want)
+		}
+		if n := f.LinesOpen(); n != 0 {
+			t.Errorf("%v: %d connections on the books", errno, n)
+		}
+	}
+}
+
+// What was withheld is counted by reason; what begins against a rule is a violation.
+func TestAttemptsAreAudited(t *testing.T) {
+	node, err := standin.NewLineNode("", func(conn net.Conn, cmd standin.LineCommand) {
+		if cmd.Verb == "GET" {
+			fmt.Fprint(conn, standin.LineAnswer(cmd.ID, "data", "total=1", "a\tb\tc\n"))
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newLineFleet(t, Options{DrainGrace: time.Millisecond}, node.Address())
+	f.send("one", 0, "n0", time.Second)
+	if end := f.end(); end.Code != choice.OK || len(f.Audit().Counts()) != 0 {
+		t.Fatalf("code %d (%v), counts %v", end.Code, end.Err, f.Audit().Counts())
+	}
+	f.SetNodes([]nodelist.Node{{ID: "n0", Lines: node.Address(), State: choice.Draining}})
+	f.send("two", 0, "n0", time.Second)
+	if end := f.end(); end.Code != choice.Moot || f.Audit().Withheld(permit.Draining) != 1 || f.Audit().Violated(permit.Draining) != 0 {
+		t.Errorf("code %d (%v), counts %v", end.Code, end.Err, f.Audit().Counts())
+	}
+	n := f.use("n0")
+	defer f.release(n)
+	a := &attempt{f: f.Fleet}
+	a.a.Query, a.a.Until = &dispatch.Query{ID: "q"}, f.clock.Now()+1e6
+	n.notified.Store(f.clock.Now() - 1e6)
+	if a.begunAt(n); f.Audit().Violated(permit.Draining) != 1 {
+		t.Errorf("counts %v", f.Audit().Counts())
+	}
+}
+
+// A wall clock that steps by an hour does not make a node that has just joined look old, nor one look as if it had yet to start.
+func TestStartsAreBoundedByTheListsBefore(t *testing.T) {
+	f := newLineFleet(t, Options{}, "127.0.0.1:1")
+	listed := f.clock.Now()
+	rows := []nodelist.Node{{ID: "n0", Lines: "127.0.0.1:1"}, {ID: "old", Lines: "127.0.0.1:2", Started: time.Now().Add(-time.Hour)},
+		{ID: "early", Lines: "127.0.0.1:3", Started: time.Now().Add(time.Hour)}, {ID: "true", Lines: "127.0.0.1:4", Started: time.Now().Add(-time.Second)}}
+	if err := f.SetNodes(rows); err != nil {
+		t.Fatal(err)
+	}
+	now := f.clock.Now()
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if at := f.nodes["old"].startedAt; at < listed-listedWithin.Microseconds()-100_000 {
+		t.Errorf("started %v ago", time.Duration(now-at)*time.Microsecond)
+	}
+	if at := f.nodes["early"].startedAt; at > now {
+		t.Errorf("starts %v from now", time.Duration(at-now)*time.Microsecond)
+	}
+	if age := now - f.nodes["true"].startedAt; age < 900_000 || age > 2_000_000 {
+		t.Errorf("one that started a second ago is %d us old", age)
+	}
+	if f.nodes["n0"].startedAt != 0 {
+		t.Error("a start that is not told is told")
+	}
+}
--- a/front/postgres/postgres.go
+++ b/front/postgres/postgres.go
@@ -10,6 +10,7 @@
 	"net"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -43,9 +44,11 @@
 	traces   map[string]struct{} // of open queries
 	parted   chan struct{}       // closed at the end, when all sessions have been told to close
 
-	lastCame   atomic.Int64 // Unix nanoseconds: a connection or a query
-	turnedAway atomic.Int64 // connections closed because there were too many
-	unreadable atomic.Int64 // messages that could not be read or used
+	began        time.Time
+	lastCame     atomic.Int64 // when a connection or a query came, in nanoseconds since began
+	acceptErrors atomic.Int64
+	turnedAway   atomic.Int64 // connections closed because there were too many
+	unreadable   atomic.Int64 // messages that could not be read or used
 }
 
 // New returns a front; nothing is served before Serve.
@@ -74,7 +77,8 @@
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
-	return &Front{opt: o, desk: d, sessions: map[uint32]*session{}, traces: map[string]struct{}{}, parted: make(chan struct{})}
+	return &Front{opt: o, desk: d, sessions: map[uint32]*session{}, traces: map[string]struct{}{}, parted: make(chan struct{}),
+		began: time.Now()}
 }
 
 // Counts tells how many sessions are open and do not close, how many were turned away for their number, and how many messages could not be
@@ -122,12 +126,7 @@
 		}
 		if ctx.Err() == nil {
 			if !isTimeout(err) {
-				f.opt.Log.Warn("a connection could not be taken", "error", err)
-				f.evict(true)
-				select {
-				case <-ctx.Done():
-				case <-time.After(acceptPause):
-				}
+				f.refusedByTheSystem(ctx, err)
 			}
 			continue
 		}
@@ -135,7 +134,7 @@
 			over = time.Now()
 			f.came()
 		}
-		until := time.Unix(0, f.lastCame.Load()).Add(f.opt.Quiet)
+		until := f.began.Add(time.Duration(f.lastCame.Load()) + f.opt.Quiet)
 		if last := over.Add(quietMost * f.opt.Quiet); until.After(last) {
 			until = last
 		}
@@ -155,7 +154,26 @@
 }
 
 // came notes that a client has brought something.
-func (f *Front) came() { f.lastCame.Store(time.Now().UnixNano()) }
+func (f *Front) came() { f.lastCame.Store(int64(time.Since(f.began))) }
+
+// refusedByTheSystem deals with an error of accept(2). A connection that ended before it was taken says nothing of the next one. Where this
+// process has no descriptor left an idle connection makes room; what the whole system lacks no client here is to blame for.
+func (f *Front) refusedByTheSystem(ctx context.Context, err error) {
+	if errors.Is(err, syscall.ECONNABORTED) || errors.Is(err, syscall.EINTR) || errors.Is(err, syscall.EPROTO) {
+		return
+	}
+	f.acceptErrors.Add(1)
+	f.opt.Log.Warn("a connection could not be taken", "error", err)
+	if errors.Is(err, syscall.EMFILE) {
+		f.evict(true)
+	}
+	timer := time.NewTimer(acceptPause)
+	defer timer.Stop()
+	select {
+	case <-ctx.Done():
+	case <-timer.C:
+	}
+}
 
 // take starts a session. Where there is no room and none can be made it may call off another session's query, or is turned
 // away.
@@ -189,13 +207,17 @@
 	f.group.Go(func() error { s.run(); return nil })
 }
 
-// cut closes the oldest connection that is on its way out already; false where there is none. f.mu is held.
+// cut closes a connection that is on its way out and owes nothing, the one whose close has come furthest and of those the oldest; false
+// where there is none. f.mu is held.
 func (f *Front) cut() bool {
 	var oldest *session
+	furthest := onItsWay
 	for _, s := range f.sessions {
-		if phase, _, _ := s.state(); (phase == closing || s.full) && (oldest == nil || s.begun.Before(oldest.begun)) {
-			oldest = s
+		stage := s.leaving()
+		if stage == onItsWay || stage < furthest || stage == furthest && !s.begun.Before(oldest.begun) {
+			continue
 		}
+		oldest, furthest = s, stage
 	}
 	if oldest == nil {
 		return false
--- a/front/postgres/session.go
+++ b/front/postgres/session.go
@@ -16,6 +16,7 @@
 	"embershunt/internal/lineproto"
 	"embershunt/internal/pgwire"
 	"embershunt/nodelist"
+	"embershunt/permit"
 )
 
 // SQLSTATEs. Those of class 53 and 57P03 tell a client that trying again does no harm: nothing else may wear them.
@@ -67,6 +68,7 @@
 	commands  []command // read ahead
 	size      int       // bytes of those
 	room      sync.Cond // signalled when commands get fewer
+	lingering bool      // the last word has been written; what still comes is read off
 	query     *front.Asked
 	bad       int // commands in a row that could not be used
 
@@ -102,6 +104,49 @@
 	return p, s.asked, s.last
 }
 
+// stage is how far the close of a session has come.
+type stage uint8
+
+const (
+	onItsWay  stage = iota // it does not close, or owes an answer
+	noRoom                 // it is to be told that there is no room for it
+	sweeping               // it looks for what had come before the close
+	lingering              // its last word has been written; what still comes is read off
+)
+
+// leaving tells how far the session's close has come.
+func (s *session) leaving() stage {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	switch {
+	case s.lingering:
+		return lingering
+	case s.connection(false).Close() != permit.Permitted:
+		return onItsWay
+	case s.phase == closing:
+		return sweeping
+	case s.full:
+		return noRoom
+	}
+	return onItsWay
+}
+
+// setReading notes whether a message is being read and answered.
+func (s *session) setReading(reading bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = reading
+}
+
+// connection is what decides whether the session may be closed; ending: the dispatcher ends. s.mu is held.
+func (s *session) connection(ending bool) permit.Connection {
+	c := permit.Connection{Reading: s.reading, Ending: ending}
+	if s.phase == working {
+		c.Owed = 1
+	}
+	return c
+}
+
 // readBuffer is small: a query is read in one or two pieces, and most connections are idle most of the time.
 const readBuffer = 1 << 10
 
@@ -227,7 +272,7 @@
 func (s *session) rested() bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if s.phase != closing && (s.phase == working || time.Now().Before(s.until())) {
+	if s.phase != closing && (s.connection(true).Close() != permit.Permitted || time.Now().Before(s.until())) {
 		return false
 	}
 	s.phase = closing
@@ -299,7 +344,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.parting = s.parting || parting
-	if s.phase == working || s.phase == closing || s.reading && !parting {
+	if s.phase == closing || s.connection(parting).Close() != permit.Permitted {
 		return false
 	}
 	s.phase = closing
@@ -320,11 +365,14 @@
 
 // part ends a session that owes nothing. Queries that had come before are refused: nothing runs for them.
 func (s *session) part(r *bufio.Reader) {
+	defer s.setReading(false)
 	for until := time.Now().Add(sweepMost); !s.full && time.Now().Before(until); {
+		s.setReading(false)
 		s.conn.SetReadDeadline(time.Now().Add(sweep))
 		if _, err := r.Peek(1); err != nil {
 			break
 		}
+		s.setReading(true)
 		s.conn.SetReadDeadline(time.Now().Add(s.f.opt.Begin))
 		kind, _, err := pgwire.ReadMessage(r, nil, s.f.opt.MaxStatement)
 		if err != nil || kind != pgwire.Query {
@@ -342,7 +390,7 @@
 // linger ends the sending side and reads off what comes, within bounds.
 func (s *session) linger(r *bufio.Reader) {
 	s.mu.Lock()
-	s.phase = closing
+	s.phase, s.lingering = closing, true
 	s.mu.Unlock()
 	half, ok := s.conn.(interface{ CloseWrite() error })
 	if !ok || half.CloseWrite() != nil {
--- /dev/null
+++ b/permit/permit.go
@@ -0,0 +1,170 @@
+// Package permit says whether something may be started, sent, repeated or closed now. It is free of
+// I/O, clocks and goroutines. Whoever is about to act asks it at the moment of the act, with what is
+// known then: a permission that was given when the act was decided may have lapsed since.
+//
+// The rules are those of the platform: one final answer for each query and nothing sent for it after,
+// no effect twice, nothing new to a server that drains or is gone.
+package permit
+
+import "embershunt/choice"
+
+// Reason is why an act is not permitted; Permitted where it is.
+type Reason uint8
+
+// The reasons.
+const (
+	Permitted  Reason = iota
+	Draining          // the server drains or is gone
+	ClientGone        // nobody waits for the answer
+	Deadline          // the query's time is up
+	Window            // servers may have forgotten the key of an attempt that may have run
+	MayHaveRun        // an earlier attempt may have run, and a repeat would have its effect twice
+	Answered          // the query has its final answer, or one is on its way to the client
+	Stopping          // the dispatcher takes nothing new
+	Full              // as many queries are held as may be
+	Owed              // answers are owed on the connection
+	Reading           // a request is being read on the connection
+	reasons
+)
+
+var names = [reasons]string{"permitted", "draining", "client_gone", "deadline", "window", "may_have_run",
+	"answered", "stopping", "full", "owed", "reading"}
+
+// String is the reason as logs and metrics name it.
+func (r Reason) String() string { return names[r] }
+
+// Intake is the state that decides whether a query may be taken.
+type Intake struct {
+	Stopping bool
+	Held     int
+	Most     int // 0: no limit
+}
+
+// Start says whether a query may be taken on.
+func (i Intake) Start() Reason {
+	switch {
+	case i.Stopping:
+		return Stopping
+	case i.Most > 0 && i.Held >= i.Most:
+		return Full
+	}
+	return Permitted
+}
+
+// Sending is what is known of an attempt at the moment at which its first byte would leave.
+type Sending struct {
+	Now        choice.Micros
+	Until      choice.Micros // the query's deadline, or the attempt's
+	Before     choice.Micros // the end of a keyed query's window; 0: there is none
+	ClientGone bool
+	Notified   choice.Micros // when it was told that the server drains or is gone; 0: it is ready
+	Pinned     bool          // the server holds the state of the query's session
+	Grace      choice.Micros // for pinned queries, after Notified
+}
+
+// Send says whether an attempt may begin.
+func (s Sending) Send() Reason {
+	switch {
+	case s.ClientGone:
+		return ClientGone
+	case s.Now >= s.Until:
+		return Deadline
+	case s.Before > 0 && s.Now >= s.Before:
+		return Window
+	case s.Notified > 0 && !(s.Pinned && s.Now < s.Notified+s.Grace):
+		return Draining
+	}
+	return Permitted
+}
+
+// Slack of the rules on attempts that have begun: the time between the decision and the first byte.
+const (
+	clientSlack   = 100_000 // microseconds after the client has left
+	deadlineSlack = 50_000
+)
+
+// Sent is what is known of an attempt whose first byte has left.
+type Sent struct {
+	At       choice.Micros // when the first byte had left, at the latest
+	Until    choice.Micros
+	Before   choice.Micros
+	GoneAt   choice.Micros // when the client left; 0: it is there
+	Notified choice.Micros // as in Sending
+	Grace    choice.Micros
+}
+
+// Violation says which rule an attempt has broken; Permitted where it is none.
+func (s Sent) Violation() Reason {
+	switch {
+	case s.Notified > 0 && s.At > s.Notified+s.Grace:
+		return Draining
+	case s.GoneAt > 0 && s.At > s.GoneAt+clientSlack:
+		return ClientGone
+	case s.At > s.Until+deadlineSlack:
+		return Deadline
+	case s.Before > 0 && s.At > s.Before+deadlineSlack:
+		return Window
+	}
+	return Permitted
+}
+
+// Attempt is one that was sent before.
+type Attempt struct {
+	Sent  choice.Micros
+	Ended bool
+	Code  choice.Code // of an attempt that has ended
+}
+
+// NeverRan tells that an attempt surely had no effect.
+func (a Attempt) NeverRan() bool {
+	return a.Ended && (a.Code == choice.Full || a.Code == choice.Refused || a.Code == choice.Moot)
+}
+
+// Repeating is what is known of a query of which another attempt would be sent.
+type Repeating struct {
+	Now      choice.Micros
+	Due      choice.Micros
+	Answered bool
+	Effect   choice.Effect
+	Window   choice.Micros // of keyed queries; 0: no limit
+	Earlier  []Attempt
+}
+
+// Repeat says whether an attempt may be sent beside or after the earlier ones. That of a query without
+// earlier attempts is its first.
+func (r Repeating) Repeat() Reason {
+	switch {
+	case r.Answered:
+		return Answered
+	case r.Now >= r.Due:
+		return Deadline
+	}
+	for _, a := range r.Earlier {
+		switch {
+		case a.NeverRan():
+		case r.Effect == choice.Unsafe:
+			return MayHaveRun
+		case r.Effect == choice.Keyed && r.Window > 0 && r.Now >= a.Sent+r.Window:
+			return Window
+		}
+	}
+	return Permitted
+}
+
+// Connection is what is known of a client's connection that is to be closed.
+type Connection struct {
+	Owed    int  // answers
+	Reading bool // a request has begun and is not whole
+	Ending  bool // the dispatcher ends: a request that is being read will be refused
+}
+
+// Close says whether a connection may be closed now.
+func (c Connection) Close() Reason {
+	switch {
+	case c.Owed > 0:
+		return Owed
+	case c.Reading && !c.Ending:
+		return Reading
+	}
+	return Permitted
+}
