--- a/member/view.go
+++ b/member/view.go
@@ -49,6 +49,7 @@
 	gone     map[string]nodelist.Node // nodes that have left the list, as they were
 	left     []string                 // their names, in the order of their leaving
 
+	heard      uint64 // newest question that was answered under the number in force, or a higher one
 	lower      int    // answers in a row with a number below the one in force
 	lowerSeen  int64  // number of the last of them
 	lowerAsked uint64 // its question
@@ -90,7 +91,7 @@
 		u.Reverted = v.goesBack(a)
 	}
 	if a.Number >= v.number {
-		v.lower = 0
+		v.lower, v.heard = 0, max(v.heard, a.Question)
 		v.number = a.Number
 		v.apply(a)
 	}
@@ -125,7 +126,7 @@
 // wrong, which goes back then.
 func (v *View) goesBack(a Answer) bool {
 	switch {
-	case v.lower > 0 && a.Question == v.lowerAsked:
+	case a.Question <= v.heard || v.lower > 0 && a.Question <= v.lowerAsked:
 		return false
 	case v.lower > 0 && a.Number >= v.lowerSeen:
 		v.lower++
@@ -136,7 +137,7 @@
 	if v.lower < lowerMost {
 		return false
 	}
-	v.number = a.Number
+	v.number, v.heard = a.Number, 0
 	return true
 }
 
--- a/member/view_test.go
+++ b/member/view_test.go
@@ -99,6 +99,22 @@
 	}
 }
 
+// Answers that were on their way when a newer one overtook them are no proof against its number.
+func TestLateAnswersDoNotTakeANumberBack(t *testing.T) {
+	v := New(list(1, "a b"))
+	v.Observe(Answer{100, list(9, "a b")})
+	for q := range uint64(2 * lowerMost) {
+		if u := v.Observe(Answer{10 + q, list(5, "a b c")}); u.Reverted || u.Unsure {
+			t.Fatalf("%+v after %d late answers", u, q+1)
+		}
+	}
+	for q := range uint64(lowerMost) {
+		if u := v.Observe(Answer{101 + q, list(5, "a b c")}); u.Reverted != (q+1 == lowerMost) {
+			t.Fatalf("%+v after %d answers", u, q+1)
+		}
+	}
+}
+
 // A node that takes the address of one that has gone: no list in force has an address twice.
 func TestAnAddressChangesHands(t *testing.T) {
 	v := New(list(1, "a b"))
--- a/soak/client.go
+++ b/soak/client.go
@@ -295,7 +295,7 @@
 
 // receive waits for the answers of a batch.
 func (c *client) receive(ctx context.Context, s *session, batch []*Request, fresh bool, tries int) {
-	leave := time.Duration(0)
+	leave, away := time.Duration(0), time.Duration(0)
 	cancels := c.once(c.habits.Cancel) == 1
 	if cancels || c.once(c.habits.Vanish) == 1 {
 		leave = time.Duration(c.rng.ExpFloat64() * float64(40*time.Millisecond))
@@ -318,9 +318,10 @@
 			c.lose(ctx, tries, q.Class, crossed)
 			return
 		case outcome == Refused && c.once(c.habits.Rush) == 0:
-			c.pause(ctx, min(max(a.pause, 20*time.Millisecond), time.Second))
+			away = max(away, min(max(a.pause, 20*time.Millisecond), time.Second))
 		}
 	}
+	c.pause(ctx, away)
 }
 
 // lose gives up a session that has ended; a request that crossed its close is sent once more on a new one.
--- a/soak/dispatcher.go
+++ b/soak/dispatcher.go
@@ -92,7 +92,7 @@
 	d.command = exec.Command(d.program, "--platform")
 	d.command.Env = append(os.Environ(), "NODE_CONFIG="+d.file())
 	d.command.Stdout, d.command.Stderr = d.log, d.log
-	fmt.Fprintf(d.log, "--- start %d at %.3f s\n", start, d.life.Began.Seconds())
+	d.note("start %d", start)
 	if err := d.command.Start(); err != nil {
 		return err
 	}
@@ -165,6 +165,7 @@
 	d.mu.Lock()
 	life, ended := d.life, d.ended
 	d.record.change(func() { life.Terminated = d.record.now() })
+	d.note("SIGTERM, then %v every %v", further, between)
 	d.command.Process.Signal(syscall.SIGTERM)
 	d.mu.Unlock()
 	kill := time.After(killAfter())
@@ -198,6 +199,7 @@
 		return err
 	}
 	d.names.Moved()
+	d.note("name service at %s, SIGHUP", d.names.Address())
 	d.Signal(syscall.SIGHUP)
 	return nil
 }
@@ -224,4 +226,12 @@
 }
 
 // SetNameFaults has its name service misbehave from now on.
-func (d *Dispatcher) SetNameFaults(f NameFaults) { d.names.SetFaults(f) }
+func (d *Dispatcher) SetNameFaults(f NameFaults) {
+	d.note("name service: %+v", f)
+	d.names.SetFaults(f)
+}
+
+// note writes a line of the run's own into the dispatcher's log.
+func (d *Dispatcher) note(format string, args ...any) {
+	fmt.Fprintf(d.log, "--- %.3f s: %s\n", d.record.now().Seconds(), fmt.Sprintf(format, args...))
+}
--- a/soak/names.go
+++ b/soak/names.go
@@ -49,7 +49,7 @@
 	seen     map[netip.AddrPort]bool
 	silent   map[netip.AddrPort]bool
 	noticed  map[string]bool // nodes whose drain or end has been told
-	quiet    time.Duration   // since when nothing has been answered by order; 0: it answers
+	brokeOff time.Duration   // when it was told to answer nothing, the last time; 0: never
 	moved    time.Duration   // when the service was moved last; 0: never
 	done     sync.WaitGroup
 }
@@ -132,11 +132,19 @@
 	}
 	v := version{len(s.versions) + 1, s.record.now(), nodes}
 	s.versions = append(s.versions, v)
-	start, within := s.start, s.latest(v.at)
-	time.AfterFunc(within, func() {
+	s.tellBy(v, s.start, s.latest(v.at))
+}
+
+// tellBy counts a version as told some time after it came in force; a break-off or a move until then gives more time. s.mu is held.
+func (s *NameService) tellBy(v version, start int, within time.Duration) {
+	time.AfterFunc(within-(s.record.now()-v.at), func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.start == start && s.quiet == 0 {
+		switch later := s.latest(v.at); {
+		case s.start != start:
+		case later > within:
+			s.tellBy(v, start, later)
+		default:
 			s.told(v, v.at+within)
 		}
 	})
@@ -145,8 +153,8 @@
 // latest is how long after an event it counts as told in any case; s.mu is held.
 func (s *NameService) latest(at time.Duration) time.Duration {
 	within := toldWithin
-	if s.quiet > 0 {
-		within = max(within, s.quiet+brokenWithin-at)
+	if s.brokeOff > 0 {
+		within = max(within, s.brokeOff+brokenWithin-at)
 	}
 	if s.moved > 0 {
 		within = max(within, s.moved+movedWithin-at)
@@ -162,11 +170,8 @@
 		s.silent, f.SilentNow = s.seen, false
 		s.seen = map[netip.AddrPort]bool{}
 	}
-	switch now := s.record.now(); {
-	case f.Down && s.quiet == 0:
-		s.quiet = now
-	case !f.Down:
-		s.quiet = 0
+	if f.Down && !s.faults.Down {
+		s.brokeOff = s.record.now()
 	}
 	s.faults = f
 }
@@ -234,7 +239,7 @@
 	send := func() {
 		s.mu.Lock()
 		defer s.mu.Unlock()
-		if s.start == start && !spoilt {
+		if s.start == start && !spoilt && conn == s.conn {
 			s.told(v, s.record.now())
 		}
 		for range copies {
--- a/soak/record.go
+++ b/soak/record.go
@@ -45,7 +45,7 @@
 type Arrival struct {
 	ID   string
 	Node string
-	At   time.Duration
+	At   time.Duration // it may have come earlier where the node itself read it late
 	TTL  time.Duration // as passed on
 	Key  string
 	Ran  bool          // it had an effect
--- a/soak/server.go
+++ b/soak/server.go
@@ -120,10 +120,25 @@
 	s    *Server
 	conn net.Conn
 
+	opened   time.Duration
+	readFrom time.Duration // the connection is read from since then
+
 	mu   sync.Mutex
 	runs map[string]*run
 }
 
+// lateReading is how long after a connection is read from what had been waiting in it may still be read.
+const lateReading = 30 * time.Millisecond
+
+// arrivedAt is when a request that has just been read reached the node's machine, at the earliest.
+func (c *serverConn) arrivedAt() time.Duration {
+	now := c.s.record.now()
+	if now-c.readFrom < lateReading {
+		return c.opened
+	}
+	return now
+}
+
 // run is one request that is out.
 type run struct {
 	arrival *Arrival
@@ -139,7 +154,9 @@
 		standin.ResetConn(conn)
 		return
 	}
+	opened := s.record.now()
 	time.Sleep(f.LateRead)
+	c.readFrom, c.opened = s.record.now(), opened
 	r := bufio.NewReader(conn)
 	for {
 		c.await()
@@ -233,7 +250,7 @@
 // get takes a request in, and decides what becomes of it.
 func (c *serverConn) get(id, fields string) bool {
 	f, record := c.s.now(), c.s.record
-	a := &Arrival{ID: id, Node: c.s.id, At: record.now()}
+	a := &Arrival{ID: id, Node: c.s.id, At: c.arrivedAt()}
 	work := classes[0].Work
 	for part := range strings.SplitSeq(fields, ",") {
 		switch name, value, _ := strings.Cut(part, "="); name {
