--- a/dispatcher/tally.go
+++ b/dispatcher/tally.go
@@ -123,6 +123,7 @@
 			"reverted", list.Reverted, "sockets", list.Sockets)
 		t.logReasons()
 		t.logAudit(p)
+		t.logClosures(p)
 		if done {
 			return
 		}
@@ -153,4 +154,18 @@
 	}
 }
 
+// logClosures logs why client sessions have ended, those reasons that occurred.
+func (t *tally) logClosures(p *Platform) {
+	var args []any
+	names, counts := p.front.Closures()
+	for i, name := range names {
+		if counts[i] > 0 {
+			args = append(args, name, counts[i])
+		}
+	}
+	if len(args) > 0 {
+		t.log.Info("sessions closed", args...)
+	}
+}
+
 var _ dispatch.Observer = (*tally)(nil)
--- a/front/postgres/accept_test.go
+++ b/front/postgres/accept_test.go
@@ -106,3 +106,28 @@
 	})
 	return out
 }
+
+// Why sessions ended is counted, once each.
+func TestClosuresAreCounted(t *testing.T) {
+	s := serve(t, Options{Idle: 50 * time.Millisecond}, func(*dispatch.Query) (dispatch.Verdict, bool) { return result(0), true })
+	s.session().Close()
+	s.session().Write([]byte{0xff, 0xff, 0xff, 0xff, 0xff})
+	idle := s.session()
+	idle.Write(ask(1, "SELECT 1"))
+	if got := idle.until(0); got != "TCZ." {
+		t.Fatal(got)
+	}
+	s.session()
+	s.stop()
+	names, counts := s.front.Closures()
+	total := int64(0)
+	for i, name := range names {
+		total += counts[i]
+		if want := map[string]int64{"client": 1, "unreadable": 1, "idle": 1, "dispatcher_ends": 1}[name]; counts[i] != want {
+			t.Errorf("%s: %d, want %d", name, counts[i], want)
+		}
+	}
+	if total != 4 {
+		t.Errorf("%d counted", total)
+	}
+}
--- a/front/postgres/postgres.go
+++ b/front/postgres/postgres.go
@@ -47,6 +47,7 @@
 	began        time.Time
 	lastCame     atomic.Int64 // when a connection or a query came, in nanoseconds since began
 	acceptErrors atomic.Int64
+	closures     closures
 	turnedAway   atomic.Int64 // connections closed because there were too many
 	unreadable   atomic.Int64 // messages that could not be read or used
 }
@@ -223,6 +224,7 @@
 		return false
 	}
 	delete(f.sessions, oldest.key.Process)
+	oldest.because(byCut)
 	oldest.conn.Close()
 	return true
 }
--- a/front/postgres/session.go
+++ b/front/postgres/session.go
@@ -74,6 +74,8 @@
 
 	wmu  sync.Mutex
 	over bool // the last word has been written
+
+	closeOnce sync.Once
 }
 
 // command is a query that has been read whole and has no answer yet.
@@ -154,6 +156,7 @@
 	defer s.f.forget(s)
 	defer s.conn.Close()
 	defer s.leave()
+	defer s.because(byClient)
 	r := bufio.NewReaderSize(s.conn, readBuffer)
 	s.await()
 	if !s.start(r) {
@@ -242,6 +245,7 @@
 
 func (s *session) turnAway(r *bufio.Reader) {
 	s.f.turnedAway.Add(1)
+	s.because(byNoRoom)
 	s.end(r, codeFull, "too many connections; nothing was read")
 }
 
@@ -275,6 +279,9 @@
 	if s.phase != closing && (s.connection(true).Close() != permit.Permitted || time.Now().Before(s.until())) {
 		return false
 	}
+	if s.phase != closing {
+		s.because(byIdle)
+	}
 	s.phase = closing
 	return true
 }
@@ -319,6 +326,7 @@
 			s.phase, s.last, s.query, s.commands = idle, time.Now(), nil, nil
 			if s.parting {
 				s.phase = closing
+				s.because(byEnd)
 			}
 			s.room.Signal()
 			if !s.reading {
@@ -332,6 +340,7 @@
 		s.room.Signal()
 		s.mu.Unlock()
 		if !s.answer(c) {
+			s.because(byWrite)
 			s.leave()
 			s.conn.Close() // the reader sees it, and ends
 		}
@@ -348,6 +357,11 @@
 		return false
 	}
 	s.phase = closing
+	if parting {
+		s.because(byEnd)
+	} else {
+		s.because(byEviction)
+	}
 	if !s.reading { // else the message that has begun is read to its end, and refused
 		s.conn.SetReadDeadline(s.until())
 	}
@@ -417,6 +431,7 @@
 
 // end gives the session's last word and closes it; what it had asked for is called off.
 func (s *session) end(r *bufio.Reader, code, words string) {
+	s.because(byMessage)
 	s.leave()
 	s.say(pgwire.AppendError(nil, pgwire.Fatal, code, words), true)
 	s.linger(r)
