--- /dev/null
+++ b/fleet/lines_probe.go
@@ -0,0 +1,45 @@
+package fleet
+
+import (
+	"context"
+	"time"
+
+	"embershunt/choice"
+	"embershunt/internal/lineproto"
+)
+
+// linesProbe pings a node on a connection of its own.
+func (n *node) linesProbe(ctx context.Context, f *Fleet) choice.Code {
+	ctx, cancel := context.WithTimeout(ctx, f.opt.ConnectTimeout)
+	defer cancel()
+	if !f.reserveLines() { // a probe holds a descriptor like any attempt
+		return choice.Moot
+	}
+	defer f.linesOpen.Add(-1)
+	conn, err := f.dialLines(ctx, n.lines.address)
+	if isLocal(err) {
+		return choice.Moot
+	}
+	if err != nil {
+		return choice.Refused
+	}
+	defer conn.Close()
+	stop := context.AfterFunc(ctx, func() { conn.SetDeadline(time.Unix(1, 0)) })
+	defer stop()
+	if _, err := conn.Write(lineproto.AppendPing(nil, "ping")); err != nil {
+		return choice.Reset
+	}
+	a, err := lineproto.NewReader(conn).Read()
+	switch {
+	case ctx.Err() != nil:
+		return choice.TimedOut
+	case err != nil:
+		return choice.Reset
+	case a.Word != lineproto.Well || a.ID != "ping":
+		return choice.Failed
+	}
+	return choice.OK
+}
+
+// LinesOpen counts the connections to nodes that speak lines.
+func (f *Fleet) LinesOpen() int64 { return f.linesOpen.Load() }
