Silence after slowness is noticed soon: overtaken answers do not count as signs of life

Change: a socket is silent by its questions that are newer than its newest answered one; the expected answer time falls at once and is fed by answers that were not overtaken.

--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -44,7 +44,7 @@
 	silentIntervals = 3               // ... if they have been open for so many intervals, longer each time
 	silentMost      = 5 * time.Second // and at most this long
 	silentAnswers   = 2               // or for so many times as answers take
-	answerWeight    = 0.25            // of one answer in the mean time that they take
+	answerWeight    = 0.25            // of a slower answer in the time that they are expected to take
 	readPause       = 10 * time.Millisecond
 )
 
@@ -67,8 +67,9 @@
 	retired   []*socket
 	questions map[uint16]question
 	serial    uint64        // of the question asked last
+	newest    uint64        // of the newest question that has an answer
 	next      int           // place among active of the socket that is asked next
-	answerIn  time.Duration // mean time of an answer; 0: none has come
+	answerIn  time.Duration // how long answers take, see expected; 0: none has come
 	extra     float64       // questions beyond one an interval that may be asked now
 	regularAt time.Time     // of the next regular question
 	askedAt   time.Time     // of the last one
@@ -193,7 +194,7 @@
 	}
 	r.stats.questions.Add(1)
 	r.waiting = true
-	s.asked(now)
+	s.asked(r.serial, now)
 }
 
 // receive takes what a socket has brought.
@@ -228,11 +229,10 @@
 // heard notes that a usable answer has come.
 func (r *Resolver) heard(now time.Time, q question, s *socket) {
 	took, age := now.Sub(q.at), r.age()
-	if r.answerIn == 0 {
-		r.answerIn = took
+	s.heard(q.serial)
+	if q.serial > r.newest { // one that was overtaken says nothing of how things are now
+		r.newest, r.answerIn = q.serial, expected(r.answerIn, took)
 	}
-	r.answerIn += time.Duration(answerWeight * float64(took-r.answerIn))
-	s.heard()
 	if q.serial == r.serial {
 		r.waiting = false
 	}
@@ -246,6 +246,14 @@
 	}
 }
 
+// expected is how long answers take, after one more. It falls at once: what is expected to take long is missed late.
+func expected(before, took time.Duration) time.Duration {
+	if before == 0 || took < before {
+		return took
+	}
+	return before + time.Duration(answerWeight*float64(took-before))
+}
+
 // observe lets the view decide what a list changes.
 func (r *Resolver) observe(q question, list nodelist.Numbered) {
 	before := r.view.Number()
@@ -280,7 +288,7 @@
 type Stats struct {
 	Version   int64         // of the list in force
 	Age       time.Duration // since the last usable answer, or the start
-	AnswerIn  time.Duration // mean time of an answer
+	AnswerIn  time.Duration // that answers take
 	Questions int64
 	Answers   int64 // usable ones
 	Unusable  int64 // answers and rows that could not be used, and questions that could not be asked
--- a/nodelist/resolver/resolver_test.go
+++ b/nodelist/resolver/resolver_test.go
@@ -236,3 +236,38 @@
 		t.Errorf("%d sockets opened", n)
 	}
 }
+
+// A service that was slow and is fast again, then falls silent on all flows: that is noticed as soon as after a fast one alone.
+func TestSilenceAfterSlownessIsNoticedSoon(t *testing.T) {
+	const interval = 20 * time.Millisecond
+	s := service(t)
+	heard := make(chan time.Time, 100)
+	r := resolver.New(resolver.Options{Log: slog.New(slog.DiscardHandler), Address: s.Address(), Names: names,
+		Known: nodelist.Numbered{Number: 1, Nodes: nodes("a")}, Interval: interval, Apply: func([]nodelist.Node) { heard <- time.Now() }})
+	ctx, cancel := context.WithCancel(t.Context())
+	done := make(chan struct{})
+	go func() { r.Run(ctx); close(done) }()
+	defer func() { cancel(); <-done }()
+	s.Set(1, nodes("a"))
+	s.Delay(50 * interval)
+	for r.Stats().AnswerIn < 40*interval {
+		time.Sleep(time.Millisecond)
+	}
+	s.Delay(0)
+	for answers := r.Stats().Answers; r.Stats().Answers < answers+8; {
+		time.Sleep(time.Millisecond)
+	}
+	s.Mute() // answers that took long still come
+	drained := nodes("a")
+	drained[0].State = choice.Draining
+	s.Set(2, drained)
+	silent := time.Now()
+	select {
+	case at := <-heard:
+		if took := at.Sub(silent); took > 25*interval {
+			t.Errorf("heard after %v", took)
+		}
+	case <-time.After(10 * time.Second):
+		t.Error("not heard")
+	}
+}
--- a/nodelist/resolver/socket.go
+++ b/nodelist/resolver/socket.go
@@ -13,28 +13,29 @@
 
 // socket is one flow to the name service. A goroutine reads it until it is closed; the rest is the goroutine of Run's own.
 type socket struct {
-	conn       net.Conn
-	closed     chan struct{}
-	unanswered int       // questions since the last answer
-	since      time.Time // when the first of them was asked
-	retiredAt  time.Time
+	conn      net.Conn
+	closed    chan struct{}
+	open      []question // asked here after the newest one that has an answer
+	retiredAt time.Time
 }
 
-func (s *socket) asked(now time.Time) {
-	if s.unanswered == 0 {
-		s.since = now
+func (s *socket) asked(serial uint64, now time.Time) {
+	if len(s.open) < questionsMost {
+		s.open = append(s.open, question{serial, now})
 	}
-	s.unanswered++
 }
 
-func (s *socket) heard() { s.unanswered = 0 }
+// heard notes an answer. Older questions than its own do not tell any more whether the flow is silent, newer ones do.
+func (s *socket) heard(serial uint64) {
+	s.open = slices.DeleteFunc(s.open, func(q question) bool { return q.serial <= serial })
+}
 
-// silentFor is how long questions on a socket have been open without any answer; 0 where they are too few to tell.
+// silentFor is how long questions on a socket have been open since one was answered; 0 where they are too few to tell.
 func (s *socket) silentFor(now time.Time) time.Duration {
-	if s.unanswered < silentQuestions {
+	if len(s.open) < silentQuestions {
 		return 0
 	}
-	return now.Sub(s.since)
+	return now.Sub(s.open[0].at)
 }
 
 // close closes the socket and lets its reader end.
