--- a/soak/client.go
+++ b/soak/client.go
@@ -254,9 +254,10 @@
 	s.fresh = false
 	var batch []*Request
 	var b []byte
+	// One time for all: answers come in the order of the requests, and a later one cannot be given before an earlier one is.
+	patience := time.Duration((0.6 + 0.4*c.rng.Float64()) * float64(class.Deadline)).Truncate(time.Millisecond)
 	for range count {
-		q := &Request{ID: fmt.Sprintf("%016x", c.rng.Uint64()), Dispatcher: c.d.number, Start: c.d.current(), Class: class,
-			Patience: time.Duration((0.6 + 0.4*c.rng.Float64()) * float64(class.Deadline)).Truncate(time.Millisecond)}
+		q := &Request{ID: fmt.Sprintf("%016x", c.rng.Uint64()), Dispatcher: c.d.number, Start: c.d.current(), Class: class, Patience: patience}
 		nonce := ""
 		if class.Effect == choice.Keyed {
 			q.Key = q.ID + "k"
