The test of a killed dispatcher waits until it holds every query before the kill

Traced: nine of ten queries ended 16 ms after the start; the tenth had not left its client when the dispatcher died, and that client waits for a connection, as it is told to, until the test's deadline. Ruled out: a query that the dispatcher held and did not end. Change: the kill waits until ten are held.

--- a/dispatcher/clients_test.go
+++ b/dispatcher/clients_test.go
@@ -482,6 +482,12 @@
 	if err := r.nodes[0].Await(ctx, func(s []standin.Seen) bool { return len(s) >= 5 }); err != nil {
 		t.Fatal(err)
 	}
+	for r.heldQueries() < 10 { // one that has not come yet would wait for the next dispatcher: these clients wait for a connection
+		if ctx.Err() != nil {
+			t.Fatalf("%v queries held", r.heldQueries())
+		}
+		time.Sleep(time.Millisecond)
+	}
 	address := r.d.Address()
 	r.d.Kill()
 	r.cancel()
@@ -507,3 +513,19 @@
 		t.Errorf("the one started again: %v", err)
 	}
 }
+
+// heldQueries is the metric of queries without an answer.
+func (r *rig) heldQueries() float64 {
+	r.t.Helper()
+	families, err := r.d.Registry().Gather()
+	if err != nil {
+		r.t.Fatal(err)
+	}
+	for _, f := range families {
+		if f.GetName() == "embershunt_held_queries" {
+			return f.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	r.t.Fatal("no metric embershunt_held_queries")
+	return 0
+}
