Log connection, attempt and reason of every further attempt, bad end and stray answer

Change: attempts get log lines with trace, number, node and connection: further ones at their start, bad ones at their end; closes of node connections that carry attempts, with the reason; the first eight answers of a connection that belong to no attempt, all counted as answers_discarded. No decision changes. Result: go vet and the tests of backend pass. What a line costs was not measured; ends that are well are logged at the level debug only.

--- a/backend/fleet.go
+++ b/backend/fleet.go
@@ -84,10 +84,12 @@
 	attempts       map[string][]*attempt // in flight, by query
 	sessionConns   map[string]*sessionConn
 
-	listFailures  atomic.Int64
-	platformConns atomic.Int64 // open or reserved connections in the platform's protocol
-	drainDelays   drainDelays
-	audit         permit.Audit
+	listFailures       atomic.Int64
+	platformConns      atomic.Int64 // open or reserved connections in the platform's protocol
+	platformConnSerial atomic.Int64 // id of the latest of them
+	discardedAnswers   atomic.Int64 // see DiscardedAnswers
+	drainDelays        drainDelays
+	audit              permit.Audit
 }
 
 var _ dispatch.Fleet = (*Fleet)(nil)
--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -70,7 +70,9 @@
 			c.close(err)
 		}
 		if !t.unsent {
-			return t.awaitAnswer(ctx, c)
+			result, err := t.awaitAnswer(ctx, c)
+			t.logEnd(c, err)
+			return result, err
 		}
 		t.reset() // nothing was written: another connection may do
 		if ctx.Err() != nil {
@@ -116,6 +118,7 @@
 	written, err = c.writeLocked(q.Append(make([]byte, 0, len(q.Text)+headerSize)), requestWriteTimeout)
 	if written > 0 {
 		t.auditStart(n)
+		t.logStart(c)
 	}
 	return written, err
 }
@@ -201,6 +204,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	if t.done || t.conn != c {
+		c.logDiscarded(a)
 		return nil
 	}
 	if load := platformLoad(a.Field("rep")); load != nil {
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -12,6 +12,7 @@
 // platformConn is one connection in the platform's protocol. Its reader belongs to the fleet's group.
 type platformConn struct {
 	fleet   *Fleet
+	id      int64 // in logs; no other connection of the fleet has it
 	pool    *platformPool
 	conn    net.Conn
 	writeMu sync.Mutex // held while one command is written
@@ -21,6 +22,8 @@
 	abandonedIDs []string                    // of requests abandoned on this connection: their answers may still come
 	retired      bool                        // takes no more attempts
 	closed       bool
+
+	discarded int // answers without an attempt; the reader's alone
 }
 
 // maxAbandonedIDs bounds the abandoned requests of a connection. One that has so many takes no more attempts and is closed when it
@@ -93,6 +96,7 @@
 	}
 	c.mu.Unlock()
 	_ = c.conn.Close() // its attempts end with the cause
+	c.logClosed(len(attempts), cause)
 	c.fleet.platformConns.Add(-1)
 	c.pool.remove(c)
 	for _, t := range attempts {
@@ -113,6 +117,7 @@
 		t := c.attempts[a.ID]
 		c.mu.Unlock()
 		if t == nil { // abandoned, answered before, or never requested here
+			c.logDiscarded(&a)
 			continue
 		}
 		if err := t.receive(c, &a); err != nil {
--- a/backend/platform_pool.go
+++ b/backend/platform_pool.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &platformConn{fleet: f, pool: p, conn: conn, attempts: map[string]*platformAttempt{t.call.ID: t}}
+	c := &platformConn{fleet: f, id: f.platformConnSerial.Add(1), pool: p, conn: conn, attempts: map[string]*platformAttempt{t.call.ID: t}}
 	if !p.addBusy(c) {
 		_ = conn.Close() // nothing was sent on it
 		f.platformConns.Add(-1)
--- a/server/platform_metrics.go
+++ b/server/platform_metrics.go
@@ -124,7 +124,7 @@
 	args := []any{"taken", m.received.Load(), "served", m.outcomes[dispatch.Served].Load(), "refused", m.outcomes[dispatch.Shed].Load(),
 		"failed", m.outcomes[dispatch.Failed].Load(), "held", m.pending.Load(), "sent", m.sent.Load(), "further", m.retries.Load(),
 		"faults", m.faults.Load(), "sessions", open, "turned_away", turnedAway, "unreadable", unreadable,
-		"node_connections", p.fleet.PlatformConns(), "list_failures", p.resolver.Failures()}
+		"node_connections", p.fleet.PlatformConns(), "answers_discarded", p.fleet.DiscardedAnswers(), "list_failures", p.resolver.Failures()}
 	for code := range m.codes {
 		args = append(args, "ended_"+codeNames[policy.Code(code)], m.codes[code].Load())
 	}
