--- a/soak/checker.go
+++ b/soak/checker.go
@@ -16,6 +16,7 @@
 	InvariantAnswer    Invariant = "answer"    // each request gets one final answer, in time and correct
 	InvariantRejection Invariant = "refusal"   // a rejected request without idempotency never ran
 	InvariantDuplicate Invariant = "duplicate" // no effect happens twice
+	InvariantOverlap   Invariant = "overlap"   // no two attempts of one request are out at once
 	InvariantDrain     Invariant = "drain"     // no attempt at a node past the grace period after notice of its drain or removal
 	InvariantClient    Invariant = "client"    // no attempt starts for a client that has disconnected, or after its timeout
 	InvariantTTL       Invariant = "ttl"       // the deadline forwarded is no more than the client's remaining time
@@ -155,6 +156,7 @@
 		}
 		if i > 0 {
 			c.checkRetry(q, c.arrivals[q.ID][:i], a)
+			c.checkOverlap(q, c.arrivals[q.ID][:i], a)
 		}
 	}
 }
@@ -178,6 +180,17 @@
 	}
 }
 
+// checkOverlap checks that no attempt before another one was still out. A node reads a cancel or the end of a connection with a delay.
+func (c *checker) checkOverlap(q *Request, before []*Arrival, a *Arrival) {
+	for _, b := range before {
+		if b.Ended == 0 || b.Ended > a.At+readSlack {
+			c.add(InvariantOverlap, a.At, "%s: sent to %s (connection %d) while the attempt of %.3f at %s (connection %d) was out, to %.3f", q, a.Node, a.Conn,
+				b.At.Seconds(), b.Node, b.Conn, b.Ended.Seconds())
+			return
+		}
+	}
+}
+
 // checkDrains checks that no attempt went to nodes that are draining or were removed.
 func (c *checker) checkDrains() {
 	type target struct { // of notices and attempts
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -119,7 +119,7 @@
 	s := p.Server(id)
 	for p.sleep(ctx, uniform(rng, time.Second, 8*time.Second)) {
 		var f ServerFaults
-		switch rng.IntN(8) {
+		switch rng.IntN(9) {
 		case 0:
 			f.Hang = true
 		case 1:
@@ -133,6 +133,8 @@
 		case 5:
 			f.Malformed, f.Incomplete, f.Duplicate = 0.1, 0.1, 0.5
 		case 6:
+			f.LostPages, f.LateCopy, f.Fail = 0.4*rng.Float64(), 0.4*rng.Float64(), 0.2*rng.Float64()
+		case 7:
 			f.ReadDelay = uniform(rng, 0, time.Second)
 		default:
 			f.IdleTimeout = uniform(rng, 5*time.Millisecond, 300*time.Millisecond)
--- a/soak/record.go
+++ b/soak/record.go
@@ -45,6 +45,7 @@
 type Arrival struct {
 	ID    string
 	Node  string
+	Conn  int           // number of the node's connection
 	At    time.Duration // earliest possible time, where the node itself read it late
 	TTL   time.Duration // as the dispatcher forwarded it
 	Key   string
--- a/soak/server.go
+++ b/soak/server.go
@@ -22,6 +22,8 @@
 	Malformed   float64       // share answered with an unreadable line
 	Incomplete  float64       // share answered with fewer bytes than their length says
 	Duplicate   float64       // share answered twice
+	LostPages   float64       // share of results whose further pages the node has lost: each request for one is answered "failed"
+	LateCopy    float64       // share of answers that are sent again some milliseconds later
 	ReadDelay   time.Duration // a new connection is read only after this
 	IdleTimeout time.Duration // an idle connection is closed after this; 0: the default idleTimeout
 }
@@ -37,6 +39,7 @@
 	rng    *rand.Rand
 	faults ServerFaults
 	conns  map[net.Conn]bool
+	serial int // connections accepted
 	closed bool
 }
 
@@ -107,9 +110,11 @@
 			return
 		}
 		s.conns[conn] = true
+		s.serial++
+		number := s.serial
 		s.mu.Unlock()
 		s.done.Add(1)
-		go s.serve(conn)
+		go s.serve(conn, number)
 	}
 }
 
--- a/soak/serverconn.go
+++ b/soak/serverconn.go
@@ -17,12 +17,14 @@
 type serverConn struct {
 	server *Server
 	conn   net.Conn
+	number int // among the connections of its server
 
 	opened   time.Duration
 	readFrom time.Duration // when reading from the connection began
 
 	mu      sync.Mutex
 	pending map[string]*pendingRequest // by request ID
+	lost    map[string]bool            // requests whose further pages are lost, by ID
 }
 
 // pendingRequest is a request that has not been answered; a timer answers it.
@@ -32,9 +34,9 @@
 }
 
 // serve reads commands until the connection ends or is to be closed.
-func (s *Server) serve(conn net.Conn) {
+func (s *Server) serve(conn net.Conn, number int) {
 	defer s.done.Done()
-	c := &serverConn{server: s, conn: conn, pending: map[string]*pendingRequest{}}
+	c := &serverConn{server: s, conn: conn, number: number, pending: map[string]*pendingRequest{}, lost: map[string]bool{}}
 	defer c.close()
 	f := s.currentFaults()
 	if s.chance(f.ResetNew) {
@@ -122,12 +124,37 @@
 		c.finish(words[1])
 	case "PAGE":
 		if len(words) == 3 {
-			c.write(simulated.PlatformAnswer(words[1], "page", "index="+words[2], words[1]+"\tpage\t"+words[2]+"\n"))
+			c.page(words[1], words[2])
 		}
 	}
 	return true
 }
 
+// maxLateness bounds how late an answer is that is sent again, or that follows an error.
+const maxLateness = 8 * time.Millisecond
+
+// page answers the request for a further page. Where the pages are lost each of them is answered "failed", the second one late.
+func (c *serverConn) page(id, index string) {
+	c.mu.Lock()
+	lost := c.lost[id]
+	c.mu.Unlock()
+	if !lost {
+		c.write(simulated.PlatformAnswer(id, "page", "index="+index, id+"\tpage\t"+index+"\n"))
+		return
+	}
+	failed := simulated.PlatformAnswer(id, "failed", "", "")
+	if index == "1" {
+		c.write(failed)
+		return
+	}
+	c.writeLater(failed)
+}
+
+// writeLater writes within maxLateness.
+func (c *serverConn) writeLater(text string) {
+	time.AfterFunc(c.server.drawWork(maxLateness/4, 1), func() { c.write(text) })
+}
+
 // finish ends a pending request; false where there is none with that ID.
 func (c *serverConn) finish(id string) bool {
 	c.mu.Lock()
@@ -151,7 +178,7 @@
 // get records a request and carries it out, subject to the current faults; false where the connection is to be closed.
 func (c *serverConn) get(id, fields string) bool {
 	f, record := c.server.currentFaults(), c.server.record
-	a := &Arrival{ID: id, Node: c.server.id, At: c.arrivedAt()}
+	a := &Arrival{ID: id, Node: c.server.id, Conn: c.number, At: c.arrivedAt()}
 	meanWork := a.parseFields(fields)
 	record.addArrival(a)
 	duration := c.server.drawWork(meanWork, max(f.Slowdown, 1))
@@ -185,7 +212,7 @@
 		c.answerAfter(duration, a, id+" data total=1 5000\r\n"+strings.Repeat("x\ty\tz\n", 10))
 	default:
 		c.markRan(a)
-		c.answerAfter(duration, a, c.drawResult(id, f.Duplicate))
+		c.answerAfter(duration, a, c.drawResult(id, f))
 	}
 	return true
 }
@@ -211,15 +238,21 @@
 	return meanWork
 }
 
-// drawResult is the first page of a result of one page or three, twice with the given probability.
-func (c *serverConn) drawResult(id string, duplicate float64) string {
+// drawResult is the first page of a result of one page or three, subject to faults.
+func (c *serverConn) drawResult(id string, f ServerFaults) string {
 	copies, pages := 1, 1
-	if c.server.chance(duplicate) {
+	if c.server.chance(f.Duplicate) {
 		copies = 2
 	}
 	if c.server.chance(0.2) {
 		pages = 3
 	}
+	if c.server.chance(f.LostPages) {
+		pages = 3
+		c.mu.Lock()
+		c.lost[id] = true
+		c.mu.Unlock()
+	}
 	return strings.Repeat(simulated.PlatformAnswer(id, "data", fmt.Sprintf("total=%d,rep=busy:0.2;rif:2", pages), id+"\tpage\t0\n"), copies)
 }
 
@@ -233,6 +266,9 @@
 	c.addPending(a, d, func() {
 		if c.finish(a.ID) {
 			c.write(text)
+			if c.server.chance(c.server.currentFaults().LateCopy) {
+				c.writeLater(text)
+			}
 		}
 	})
 }
--- a/soak/settings.go
+++ b/soak/settings.go
@@ -22,9 +22,10 @@
 	{Name: "lookup", Effect: policy.Idempotent, Deadline: 1500 * time.Millisecond, MeanWork: 20 * time.Millisecond},
 	{Name: "load", Effect: policy.IdempotentByKey, Deadline: 2500 * time.Millisecond, DedupWindow: 1200 * time.Millisecond, MeanWork: 60 * time.Millisecond},
 	{Name: "booking", Effect: policy.NonIdempotent, Deadline: 2000 * time.Millisecond, MeanWork: 30 * time.Millisecond},
+	{Name: "report", Effect: policy.Idempotent, Deadline: 2500 * time.Millisecond, MeanWork: 250 * time.Millisecond},
 }
 
-// Limits of every run, written into its settings.
+// Limits of every run, written into its settings. None has secondCopies: hedging is not allowed.
 const (
 	drainGrace     = time.Second
 	budgetBase     = 5
