A connection to a node carries one attempt of a request at most

Callers saw two attempts of one request out at once, rows of another attempt, and classes that must not be repeated sent again. Cause: the platform's protocol names the request in an answer, not the attempt. A connection whose attempt ended by a line of the node went back to the pool while further lines about the request could come (the second of two lost pages, a second copy); the retry took that connection first, and the next such line ended it, within a millisecond in the issue's report, while the node ran it. Change: a connection remembers every request that it has carried until a second after the deadline, from when on no attempt of it starts, and takes no other attempt of it; at 1,024 it is replaced. Until now it remembered only abandoned ones. Sharing looks for a connection that takes the attempt. Why it works: lines on a connection can only be about its one attempt of that request.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -63,7 +63,7 @@
 		t.setConn(c)
 		written, err := t.sendRequest(ctx, n, c)
 		if t.unsent = written == 0; errors.Is(err, errNeverSent) { // the connection is as good as before
-			c.removeAttempt(t, attemptAnswered)
+			c.removeAttempt(t)
 			return nil, err
 		}
 		if err != nil {
@@ -141,10 +141,10 @@
 			if pages > 1 {
 				_ = c.write(lineproto.AppendClose(nil, t.call.ID)) // the node discards its pages by itself, if later
 			}
-			c.removeAttempt(t, attemptAnswered)
+			c.removeAttempt(t)
 			return &t.result, nil
 		case done:
-			c.removeAttempt(t, attemptAnswered)
+			c.removeAttempt(t)
 			return nil, err
 		case pages > 1 && !requested:
 			requested = true
@@ -163,14 +163,13 @@
 	t.mu.Lock()
 	t.done = true
 	t.mu.Unlock()
-	end := attemptAbandoned
 	if errors.Is(context.Cause(ctx), errTimedOut) {
-		end = attemptTimedOut
+		c.retire()
 	}
 	if err := c.write(lineproto.AppendCancel(nil, t.call.ID)); err != nil { // closing the connection drops the request as well
 		c.close(err)
 	}
-	c.removeAttempt(t, end)
+	c.removeAttempt(t)
 }
 
 // abandonedError is the cause of an abandoned attempt, with how far its answer had come.
--- a/backend/platform_attempt_test.go
+++ b/backend/platform_attempt_test.go
@@ -300,7 +300,7 @@
 		time.Sleep(time.Millisecond)
 	}
 	out := f.attempt("q-id", 0).protocol.(*platformAttempt)
-	ended := &platformConn{fleet: f.Fleet, attempts: map[string]*platformAttempt{"id": out}}
+	ended := newPlatformConn(f.Fleet, &f.nodes["n0"].platform, &net.TCPConn{}, out)
 	out.connClosed(ended, net.ErrClosed)
 	if err := out.receive(ended, &lineproto.Answer{ID: "id", Kind: lineproto.Failed}); err != nil {
 		t.Error(err)
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"slices"
 	"sync"
 	"time"
 
@@ -17,27 +16,48 @@
 	conn    net.Conn
 	writeMu sync.Mutex // held while one command is written
 
-	mu           sync.Mutex
-	attempts     map[string]*platformAttempt // by request id
-	abandonedIDs []string                    // of requests abandoned on this connection: their answers may still come
-	retired      bool                        // takes no more attempts
-	closed       bool
+	mu       sync.Mutex
+	attempts map[string]*platformAttempt // by request id
+	carried  requestIDs                  // of all attempts, past ones too: it carries one attempt of a request at most
+	retired  bool                        // takes no more attempts
+	closed   bool
 
 	discarded int // answers without an attempt; the reader's alone
 }
 
-// maxAbandonedIDs bounds the abandoned requests of a connection. One that has so many takes no more attempts and is closed when it
-// is idle.
-const maxAbandonedIDs = 32
+// maxCarriedIDs bounds the requests that a connection remembers. One that has so many takes no more attempts and is closed when it is
+// idle.
+const maxCarriedIDs = 1024
 
-// addAttempt adds an attempt; false where the connection takes none, or has seen the request's id before.
+// newPlatformConn returns a connection that carries its first attempt.
+func newPlatformConn(f *Fleet, p *platformPool, conn net.Conn, t *platformAttempt) *platformConn {
+	c := &platformConn{fleet: f, id: f.platformConnSerial.Add(1), pool: p, conn: conn, attempts: map[string]*platformAttempt{}}
+	c.addAttempt(t)
+	return c
+}
+
+// takes tells whether an attempt may be added: the connection takes attempts, and has carried none of the same request before.
+func (c *platformConn) takes(t *platformAttempt) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.takesLocked(t)
+}
+
+// takesLocked is takes; c.mu is held.
+func (c *platformConn) takesLocked(t *platformAttempt) bool {
+	return !c.closed && !c.retired && !c.carried.contains(t.call.ID)
+}
+
+// addAttempt adds an attempt; false where the connection does not take it.
 func (c *platformConn) addAttempt(t *platformAttempt) bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.closed || c.retired || c.attempts[t.call.ID] != nil || slices.Contains(c.abandonedIDs, t.call.ID) {
+	if !c.takesLocked(t) {
 		return false
 	}
 	c.attempts[t.call.ID] = t
+	c.carried.add(t.call.ID, c.fleet.clock.Now(), t.spec.Query.Deadline)
+	c.retired = c.carried.size() >= maxCarriedIDs
 	c.setReadDeadline(time.Time{})
 	return true
 }
@@ -54,24 +74,18 @@
 	return len(c.attempts)
 }
 
-// attemptEnd is how an attempt leaves its connection.
-type attemptEnd uint8
-
-const (
-	attemptAnswered  attemptEnd = iota // answered, or nothing of it was written
-	attemptAbandoned                   // its answer may still come
-	attemptTimedOut                    // likewise, and the node may be gone: the connection is not used again
-)
+// retire has the connection take no more attempts: it is closed when it is idle.
+func (c *platformConn) retire() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.retired = true
+}
 
 // removeAttempt takes an attempt off the connection, which goes back to the pool where it can be used again.
-func (c *platformConn) removeAttempt(t *platformAttempt, end attemptEnd) {
+func (c *platformConn) removeAttempt(t *platformAttempt) {
 	c.mu.Lock()
 	delete(c.attempts, t.call.ID)
-	if end != attemptAnswered {
-		c.abandonedIDs = append(c.abandonedIDs, t.call.ID)
-	}
 	idle := len(c.attempts) == 0 && !c.closed
-	c.retired = c.retired || end == attemptTimedOut || len(c.abandonedIDs) >= maxAbandonedIDs
 	retired := c.retired
 	if idle {
 		c.setReadDeadline(time.Now().Add(c.fleet.options.PlatformIdleTimeout))
--- a/backend/platform_pool.go
+++ b/backend/platform_pool.go
@@ -38,7 +38,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &platformConn{fleet: f, id: f.platformConnSerial.Add(1), pool: p, conn: conn, attempts: map[string]*platformAttempt{t.call.ID: t}}
+	c := newPlatformConn(f, p, conn, t)
 	if !p.addBusy(c) {
 		_ = conn.Close() // nothing was sent on it
 		f.platformConns.Add(-1)
@@ -130,14 +130,14 @@
 	return c
 }
 
-// shareBusy adds an attempt to the busy connection with the fewest attempts; nil where all have maxAttempts.
+// shareBusy adds an attempt to the busy connection with the fewest attempts; nil where all have maxAttempts or take it not.
 func (p *platformPool) shareBusy(t *platformAttempt, maxAttempts int) *platformConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
 	var best *platformConn
 	fewest := maxAttempts
 	for _, c := range p.busy {
-		if n := c.attemptCount(); n < fewest {
+		if n := c.attemptCount(); n < fewest && c.takes(t) {
 			best, fewest = c, n
 		}
 	}
