A request whose write blocks is given up with its client, and within 50 ms

Callers who had left could still have an attempt begin for them up to 200 ms later; the terms allow 100 ms. Cause: the permission to start is checked before a write that could block for 200 ms on a node that does not read, and the end of the attempt did not interrupt that write. Change: the end of the attempt interrupts the write; where not a byte was written the request was never sent and the connection is as good as before. The bound is the 50 ms by which the platform's terms extend each limit.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -115,10 +115,13 @@
 		q.MemoryMB, q.Priority = int64(t.spec.MemoryMB), t.spec.Priority
 	}
 	const headerSize = 200 // bytes, an estimate
-	written, err = c.writeLocked(q.Append(make([]byte, 0, len(q.Text)+headerSize)), requestWriteTimeout)
-	if written > 0 {
+	written, err = c.writeRequestLocked(ctx, q.Append(make([]byte, 0, len(q.Text)+headerSize)))
+	switch {
+	case written > 0:
 		t.auditStart(n)
 		t.logStart(c)
+	case err != nil && ctx.Err() != nil:
+		return 0, errNeverSent
 	}
 	return written, err
 }
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -1,6 +1,7 @@
 package backend
 
 import (
+	"context"
 	"net"
 	"sync"
 	"time"
@@ -142,22 +143,37 @@
 }
 
 // Bounds of the writing of one command: a node that does not read must not hold the attempt for long. A request has less time: the
-// permission to start it is checked before it is written, and its first byte may leave only at the end of a write that blocks.
+// permission to start it is checked before it is written, and the limits that it keeps are extended by so much.
 const (
 	commandWriteTimeout = time.Second
-	requestWriteTimeout = 200 * time.Millisecond
+	requestWriteTimeout = 50 * time.Millisecond
 )
 
 // write writes one command.
 func (c *platformConn) write(b []byte) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
-	_, err := c.writeLocked(b, commandWriteTimeout)
+	c.setWriteDeadline(time.Now().Add(commandWriteTimeout))
+	_, err := c.conn.Write(b)
 	return err
 }
 
-// writeLocked writes one command within a timeout; c.writeMu is held.
-func (c *platformConn) writeLocked(b []byte, timeout time.Duration) (written int, err error) {
-	_ = c.conn.SetWriteDeadline(time.Now().Add(timeout)) // fails only on a closed connection, where the write fails as well
-	return c.conn.Write(b)
+// writeRequestLocked writes a request within requestWriteTimeout, and no longer than ctx lasts; c.writeMu is held.
+func (c *platformConn) writeRequestLocked(ctx context.Context, b []byte) (written int, err error) {
+	c.setWriteDeadline(time.Now().Add(requestWriteTimeout))
+	interrupted := make(chan struct{})
+	stop := context.AfterFunc(ctx, func() {
+		c.setWriteDeadline(expired)
+		close(interrupted)
+	})
+	written, err = c.conn.Write(b)
+	if !stop() {
+		<-interrupted // it must not hit the next command
+	}
+	return written, err
+}
+
+// setWriteDeadline sets until when a write may block.
+func (c *platformConn) setWriteDeadline(at time.Time) {
+	_ = c.conn.SetWriteDeadline(at) // fails only on a closed connection, where the write fails as well
 }
