A request whose first page came has run, whatever the node says of a further page

Callers could have an effect twice, or be told that trying again is harmless, where a node answered the request for a further page with full or moot. Cause: these words prove that nothing ran; they were believed for an attempt whose first page had come. Evidence: two cases of TestPlatformAttemptOutcomes fail before (codes 2 and 7, want 1) and pass now. Change: behind the first page every error of the node means that it failed and may have run.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -222,20 +222,27 @@
 			t.fleet.post.Notify(p)
 		}
 		return nil
-	case lineproto.AtCapacity:
-		t.err = errNodeAtCapacity
-	case lineproto.Expired:
-		t.err = errNodeExpired
-	case lineproto.Failed:
-		t.err = errNodeFailed
-	default:
-		return nil
+	case lineproto.AtCapacity, lineproto.Expired, lineproto.Failed:
+		t.done, t.err = true, t.nodeError(a.Kind)
+		t.notify()
 	}
-	t.done = true
-	t.notify()
 	return nil
 }
 
+// nodeError is the error that a node's answer means. Once the first page is there the request has run, whatever the node says of a
+// further page; t.mu is held.
+func (t *platformAttempt) nodeError(kind lineproto.AnswerKind) error {
+	switch {
+	case t.result.Started():
+		return errNodeFailed
+	case kind == lineproto.AtCapacity:
+		return errNodeAtCapacity
+	case kind == lineproto.Expired:
+		return errNodeExpired
+	}
+	return errNodeFailed
+}
+
 // receivePage adds a page to the result; t.mu is held.
 func (t *platformAttempt) receivePage(a *lineproto.Answer) error {
 	first := !t.result.Started()
--- a/backend/platform_attempt_test.go
+++ b/backend/platform_attempt_test.go
@@ -83,6 +83,8 @@
 		{"expired", answering("moot", "", ""), policy.NeverSent, ""},
 		{"failed", answering("failed", "", "what went wrong"), policy.Failed, ""},
 		{"a page that its node has lost", paging(func(int) string { return simulated.PlatformAnswer("id", "failed", "", "") }), policy.Failed, ""},
+		{"a page for which its node is full", paging(func(int) string { return simulated.PlatformAnswer("id", "full", "", "") }), policy.Failed, ""},
+		{"a page whose time is over", paging(func(int) string { return simulated.PlatformAnswer("id", "moot", "", "") }), policy.Failed, ""},
 		{"a page beyond the last", paging(func(int) string { return page(7) }), policy.Failed, ""},
 		{"a page within a row", answering("data", "total=1", "a\tb\tc\nd\te"), policy.Failed, ""},
 		{"a row of two columns", answering("data", "total=1", "a\tb\n"), policy.Failed, ""},
