An idle timeout that meets a new attempt on the connection doesn't end the attempt

Callers of classes that must not be repeated could get a failure, others a needless further attempt, where a request took a pooled connection in the moment in which its idle time was over. Cause: the reader closed the connection on the deadline's error without looking whether an attempt had been added since. Evidence: TestIdleTimeoutAsAnAttemptIsAdded holds the error until the attempt is on the connection; before, the attempt ends as reset, now it is answered. Change: the reader waits for an answer's first byte with nothing consumed; a deadline closes the connection only while no attempt is on it.

--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -2,7 +2,9 @@
 
 import (
 	"context"
+	"errors"
 	"net"
+	"os"
 	"sync"
 	"time"
 
@@ -82,6 +84,17 @@
 	c.retired = true
 }
 
+// retireIdle retires a connection whose idle time is over; false where an attempt was added in that moment.
+func (c *platformConn) retireIdle() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if len(c.attempts) > 0 {
+		return false
+	}
+	c.retired = true
+	return true
+}
+
 // removeAttempt takes an attempt off the connection, which goes back to the pool where it can be used again.
 func (c *platformConn) removeAttempt(t *platformAttempt) {
 	c.mu.Lock()
@@ -123,6 +136,14 @@
 func (c *platformConn) readAnswers() {
 	r := lineproto.NewReader(c.conn)
 	for {
+		err := r.Await()
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.retireIdle() {
+			continue
+		}
+		if err != nil {
+			c.close(err)
+			return
+		}
 		a, err := r.Read()
 		if err != nil {
 			c.close(err)
--- a/backend/platform_pool_test.go
+++ b/backend/platform_pool_test.go
@@ -2,8 +2,11 @@
 
 import (
 	"context"
+	"errors"
 	"fmt"
 	"net"
+	"os"
+	"sync"
 	"syscall"
 	"testing"
 	"time"
@@ -171,3 +174,48 @@
 		t.Error("something is left of nodes that were removed")
 	}
 }
+
+// timeoutConn holds a read whose deadline has passed until proceed is closed.
+type timeoutConn struct {
+	net.Conn
+	timedOut, proceed chan struct{}
+	once              sync.Once
+}
+
+// Read implements net.Conn.
+func (c *timeoutConn) Read(b []byte) (int, error) {
+	n, err := c.Conn.Read(b)
+	if errors.Is(err, os.ErrDeadlineExceeded) {
+		c.once.Do(func() {
+			close(c.timedOut)
+			<-c.proceed
+		})
+	}
+	return n, err
+}
+
+// The idle time of a connection may pass in the moment in which an attempt is added to it: the attempt goes on.
+func TestIdleTimeoutAsAnAttemptIsAdded(t *testing.T) {
+	node, err := simulated.NewPlatformNode("", answering("data", "total=1", "a\tb\tc\n"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newPlatformFleet(t, Options{PlatformIdleTimeout: 10 * time.Millisecond}, node.Address())
+	conn := &timeoutConn{timedOut: make(chan struct{}), proceed: make(chan struct{})}
+	f.dialPlatform = func(ctx context.Context, address string) (net.Conn, error) {
+		conn.Conn, err = dialTCP(ctx, address)
+		return conn, err
+	}
+	f.send("a", 0, "n0", time.Second)
+	f.end()
+	<-conn.timedOut
+	f.send("b", 0, "n0", time.Second)
+	for len(node.Commands()) < 2 {
+		time.Sleep(time.Millisecond)
+	}
+	close(conn.proceed)
+	if end := f.end(); end.Code != policy.OK || node.Accepted() != 1 {
+		t.Errorf("code %d (%v), %d connections; want %d on the first connection", end.Code, end.Err, node.Accepted(), policy.OK)
+	}
+}
--- a/internal/lineproto/answer.go
+++ b/internal/lineproto/answer.go
@@ -55,6 +55,12 @@
 // NewReader returns a Reader on r.
 func NewReader(r io.Reader) *Reader { return &Reader{in: bufio.NewReaderSize(r, maxLineBytes)} }
 
+// Await waits for the first byte of an answer. After an error of the connection, such as a deadline, it may be called again.
+func (r *Reader) Await() error {
+	_, err := r.in.Peek(1)
+	return err
+}
+
 // Read reads one answer. The error is a *FormatError where it is malformed, else the connection's.
 func (r *Reader) Read() (Answer, error) {
 	line, err := r.in.ReadSlice('\n')
