A change of priority reaches a node only while its request runs there

Callers see no wrong answer; a request could run with the priority meant for its attempt before, or its change was lost. Cause: commands name the request, not the attempt; one that waited for another command to be written was written after the end of its attempt, or before its request. Change: whether a priority is still wanted is looked at when it is its turn to be written.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -40,6 +40,7 @@
 	done            bool
 	err             error         // of a done attempt; nil: the result is complete
 	conn            *platformConn // nil: the request is on none yet
+	written         bool          // at least in part
 	progressReports int           // received so far
 }
 
@@ -118,6 +119,9 @@
 	written, err = c.writeRequestLocked(ctx, q.Append(make([]byte, 0, len(q.Text)+headerSize)))
 	switch {
 	case written > 0:
+		t.mu.Lock()
+		t.written = true
+		t.mu.Unlock()
 		t.auditStart(n)
 		t.logStart(c)
 	case err != nil && ctx.Err() != nil:
@@ -273,15 +277,21 @@
 // cleanUp implements protocolAttempt.
 func (t *platformAttempt) cleanUp() {}
 
-// setPriority changes the priority of a running request.
+// setPriority changes the priority of the request while its node has it. A command that waited behind another one must not reach the
+// node before the request, nor after its end, where it would mean a further attempt.
 func (t *platformAttempt) setPriority(priority int) {
 	t.mu.Lock()
 	c := t.conn
-	if t.done {
-		c = nil
-	}
 	t.mu.Unlock()
-	if c != nil {
-		_ = c.write(lineproto.AppendSetPriority(nil, t.call.ID, priority)) // advice: losing it costs little
+	if c == nil {
+		return
 	}
+	_ = c.writeIf(t.isRunning, lineproto.AppendSetPriority(nil, t.call.ID, priority)) // advice: losing it costs little
+}
+
+// isRunning tells that the request was written and has not ended.
+func (t *platformAttempt) isRunning() bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	return t.written && !t.done
 }
--- a/backend/platform_attempt_test.go
+++ b/backend/platform_attempt_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -349,3 +350,46 @@
 		t.Errorf("%d connections: the id was used again where it had been abandoned", node.Accepted())
 	}
 }
+
+// A priority that waits behind another command reaches the node neither before its request nor after the request's end.
+func TestPriorityOnlyWhileTheRequestRuns(t *testing.T) {
+	answer := make(chan struct{})
+	node, err := simulated.NewPlatformNode("", func(c net.Conn, cmd simulated.PlatformCommand) {
+		if cmd.ID == "id" && cmd.Verb == "GET" {
+			<-answer
+			reply(c, simulated.PlatformAnswer("id", "data", "total=1", ""))
+		}
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer node.Close()
+	f := newPlatformFleet(t, Options{MaxPlatformConns: 1}, node.Address())
+	release := sendBehindAnother(f, node, 5*time.Second)
+	request := f.attempt("q-id", 0).protocol.(*platformAttempt)
+	for _, when := range []func(){release, func() { close(answer); f.end(); request.conn.writeMu.Unlock() }} {
+		changed := make(chan struct{})
+		go func() { request.setPriority(3); close(changed) }()
+		for range 1000 { // it waits for the command before it
+			runtime.Gosched()
+		}
+		when()
+		<-changed
+		for len(node.Commands()) < 2 {
+			time.Sleep(time.Millisecond)
+		}
+		request.conn.writeMu.Lock()
+	}
+	request.conn.writeMu.Unlock()
+	f.send("last", 0, "n0", 5*time.Second) // on the same connection
+	for commands := node.Commands(); commands[len(commands)-1].ID != "last"; commands = node.Commands() {
+		time.Sleep(time.Millisecond)
+	}
+	commands := node.Commands()
+	if commands[1].Verb != "GET" {
+		t.Errorf("the priority came before its request: %v", commands)
+	}
+	if len(commands) > 4 || len(commands) == 4 && commands[2].Verb != "RANK" {
+		t.Errorf("the priority came again, after the end of its request: %v", commands)
+	}
+}
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -172,8 +172,16 @@
 
 // write writes one command.
 func (c *platformConn) write(b []byte) error {
+	return c.writeIf(func() bool { return true }, b)
+}
+
+// writeIf writes one command, unless it is not wanted any more when the commands before it have been written.
+func (c *platformConn) writeIf(wanted func() bool, b []byte) error {
 	c.writeMu.Lock()
 	defer c.writeMu.Unlock()
+	if !wanted() {
+		return nil
+	}
 	c.setWriteDeadline(time.Now().Add(commandWriteTimeout))
 	_, err := c.conn.Write(b)
 	return err
