Flight SQL: a change of resources ends with the attempt that it was made for

Change: the call runs under the attempt's context, which ends before the attempt is reported. No test fails without it: the order of two calls on a gRPC connection is not forced here.

--- a/backend/attempt.go
+++ b/backend/attempt.go
@@ -32,6 +32,7 @@
 	fleet     *Fleet
 	spec      dispatch.Attempt
 	startedAt time.Time
+	ctx       context.Context // ends with the attempt
 	cancel    context.CancelCauseFunc
 	forward   chan struct{} // closed when the response may be forwarded
 	timer     *time.Timer   // of the attempt's own deadline
@@ -80,7 +81,7 @@
 func (f *Fleet) Send(a dispatch.Attempt) {
 	f.drainDelays.recordSend(a.Node)
 	ctx, cancel := context.WithCancelCause(f.ctx)
-	t := &attempt{fleet: f, spec: a, startedAt: time.Now(), cancel: cancel, forward: make(chan struct{})}
+	t := &attempt{fleet: f, spec: a, startedAt: time.Now(), ctx: ctx, cancel: cancel, forward: make(chan struct{})}
 	remaining := time.Duration(a.Deadline-f.clock.Now()) * time.Microsecond
 	t.timer = time.AfterFunc(remaining, func() { cancel(errTimedOut) })
 	t.protocol = t.newProtocolAttempt()
--- a/backend/resources.go
+++ b/backend/resources.go
@@ -14,30 +14,32 @@
 	body = flightwire.AppendVarint(body, 3, uint64(max(0, memoryMB)))
 	request := flightwire.Action{Type: flightwire.ActionResources, Body: body}.Encode()
 	f.mu.Lock()
-	var nodes []string
+	var attempts []*attempt
 	for _, t := range f.attempts[id] {
 		if p, ok := t.protocol.(*platformAttempt); ok {
 			f.group.Go(func() error { p.setPriority(priority); return nil })
 			continue
 		}
-		nodes = append(nodes, t.spec.Node)
+		attempts = append(attempts, t)
 	}
 	f.mu.Unlock()
-	for _, node := range nodes {
-		f.group.Go(func() error { f.sendResources(node, request); return nil })
+	for _, t := range attempts {
+		f.group.Go(func() error { t.sendResources(request); return nil })
 	}
 }
 
-// sendResources sends a node the action that changes a query's resources.
-func (f *Fleet) sendResources(node string, request []byte) {
-	ctx, cancel := context.WithTimeout(f.ctx, f.options.HealthCheckTimeout)
+// sendResources sends the attempt's node the action that changes a query's resources. The action names the query alone: it ends with
+// the attempt, so that it does not change those of a further one.
+func (t *attempt) sendResources(request []byte) {
+	f := t.fleet
+	ctx, cancel := context.WithTimeout(t.ctx, f.options.HealthCheckTimeout)
 	defer cancel()
-	n := f.acquire(node)
+	n := f.acquire(t.spec.Node)
 	if n == nil {
 		return
 	}
 	defer f.release(n)
-	if conn, err := n.flightDial(&f.options); err == nil && conn != nil {
+	if conn, err := n.flightDial(&f.options); err == nil && conn != nil && ctx.Err() == nil {
 		callDiscardingAnswer(ctx, conn, flightwire.MethodDoAction, request)
 	}
 }
