ClickHouse: what a node sends behind an answer isn't taken for the next answer

Callers over the native protocol could get the end of another query's answer as theirs: served without rows, or an error that was not theirs, which counts as a final answer or opens a further attempt while theirs runs. Answers have no id; a pooled connection was looked at for unread bytes on the socket, not for bytes read into its buffer, and what came after the next query was written counted for it. Change: a connection with buffered bytes is not used again. On one that has carried a query a ping goes in front of the next, in the same write: what comes before its pong ends the connection. The cost of a pong a query was not measured at this commit.

--- a/backend/native_attempt.go
+++ b/backend/native_attempt.go
@@ -98,7 +98,7 @@
 	c.r.Compressed = t.call.Query.Compression
 	// An INSERT does nothing before its rows arrive, and one that is sent for its sample block never gets any.
 	t.unsent = t.call.Data != nil || t.call.Sample
-	if err := c.send(t.query().Encode(t.call.Revision), t.call.Tables); err != nil {
+	if err := c.sendQuery(t.query().Encode(t.call.Revision), t.call.Tables); err != nil {
 		return false, nil, err
 	}
 	if t.unsent {
@@ -136,7 +136,7 @@
 		}
 	}()
 	for {
-		p, err = c.r.ReadServer(t.call.Revision)
+		p, err = c.readAnswer(t.call.Revision)
 		switch {
 		case err != nil:
 			return p, err
@@ -195,7 +195,7 @@
 func (t *nativeAttempt) forwardAnswer(ctx context.Context, c *nativeConn) (clean bool, result any, err error) {
 	held, forwarding := []byte{}, false
 	for {
-		p, err := c.r.ReadServer(t.call.Revision)
+		p, err := c.readAnswer(t.call.Revision)
 		if err != nil {
 			return false, nil, err
 		}
--- a/backend/native_connection.go
+++ b/backend/native_connection.go
@@ -17,6 +17,8 @@
 	w         *bufio.Writer
 	key       nativeKey
 	idleSince time.Time // when it was last put into the pool
+	used      bool      // it has carried a query
+	awaitPong bool      // a ping was sent before the present query: what comes before its pong belongs to the query before
 }
 
 // nativeKey is what a query needs of a connection: its client's revision and database.
@@ -78,6 +80,36 @@
 	return c.w.Flush()
 }
 
+// errStaleAnswer means that a node sent more of an answer than belongs to it. The protocol's answers have no id: what comes late would
+// be taken for the next query's.
+var errStaleAnswer = errors.New("the node sent more of the answer before")
+
+// sendQuery writes a query's packets. On a connection that has carried another query a ping goes first, in the same write: its pong
+// separates the two answers.
+func (c *nativeConn) sendQuery(packets ...[]byte) error {
+	if c.awaitPong = c.used; c.used {
+		packets = append([][]byte{{native.ClientPing}}, packets...)
+	}
+	c.used = true
+	return c.send(packets...)
+}
+
+// readAnswer reads the next packet of the present query's answer.
+func (c *nativeConn) readAnswer(revision int) (native.Packet, error) {
+	p, err := c.r.ReadServer(revision)
+	if err != nil || !c.awaitPong {
+		return p, err
+	}
+	if p.Code != native.ServerPong {
+		return p, errStaleAnswer
+	}
+	c.awaitPong = false
+	return c.r.ReadServer(revision)
+}
+
+// reusable tells that the connection is still up and that nothing has arrived on it since the last answer.
+func (c *nativeConn) reusable() bool { return !c.r.Buffered() && reusable(c.conn) }
+
 // close closes the connection at once.
 func (c *nativeConn) close() {
 	_ = c.conn.Close() // nothing on it is needed any more
--- a/backend/native_pool.go
+++ b/backend/native_pool.go
@@ -27,7 +27,7 @@
 func (n *node) takeIdleNative(key nativeKey) *nativeConn {
 	for {
 		c := n.popIdleNative(key)
-		if c == nil || time.Since(c.idleSince) < nativeIdleTimeout && reusable(c.conn) {
+		if c == nil || time.Since(c.idleSince) < nativeIdleTimeout && c.reusable() {
 			return c
 		}
 		c.close()
@@ -78,7 +78,7 @@
 	if s == nil {
 		return nil
 	}
-	if s.node != n || s.conn.key.revision != key.revision || !reusable(s.conn.conn) {
+	if s.node != n || s.conn.key.revision != key.revision || !s.conn.reusable() {
 		s.conn.close()
 		return nil
 	}
