ClickHouse: late packets of a cancelled query don't go into the next answer

Callers over the native protocol who cancelled a query, or whose deadline passed in the middle of an answer, could get rows of that query in the answer to their next one. An attempt writes to the connection; the end of an answer shut that, and the next query's begin opened it again for every attempt, also one that still had packets at hand. Change: each answer has a sink of its own that stays shut once it has ended.

--- a/frontend/clickhouse/answer.go
+++ b/frontend/clickhouse/answer.go
@@ -116,18 +116,28 @@
 	return code, text
 }
 
-// beginAnswer makes Pass take the packets of another answer.
+// answerSink takes the packets of one answer. An attempt may still pass packets when its query has been answered and the next one has
+// begun: they must not be written into the next answer.
+type answerSink struct {
+	connection *connection
+	ended      bool // guarded by connection.mu
+}
+
+var _ native.Sink = (*answerSink)(nil)
+
+// beginAnswer begins another answer.
 func (c *connection) beginAnswer() {
 	c.mu.Lock()
-	c.answered, c.partial = false, false
+	c.answer, c.partial = &answerSink{connection: c}, false
 	c.mu.Unlock()
 }
 
 // Pass implements native.Sink.
-func (c *connection) Pass(packets []byte, more bool) error {
+func (a *answerSink) Pass(packets []byte, more bool) error {
+	c := a.connection
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	if c.answered {
+	if a.ended {
 		return errAnswerEnded
 	}
 	_, err := c.writer.Write(packets)
@@ -146,7 +156,7 @@
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	t.Stop()
-	c.answered = true
+	c.answer.ended = true
 	_ = c.conn.SetWriteDeadline(time.Time{}) // likewise: the next write says so
 }
 
--- a/frontend/clickhouse/connection.go
+++ b/frontend/clickhouse/connection.go
@@ -23,7 +23,7 @@
 var inThePast = time.Unix(1, 0)
 
 // connection is one connection of a client. One goroutine serves it; a second one may read the next packet meanwhile, and the
-// backend writes an answer's packets with Pass.
+// backend writes an answer's packets to its answerSink.
 type connection struct {
 	front         *Front
 	conn          net.Conn
@@ -39,13 +39,11 @@
 	exceptionSent bool                        // the last packet may have been an Exception of this frontend
 
 	mu       sync.Mutex // guards what follows, and the order of writes
-	writer   *bufio.Writer
-	answered bool // the present answer has its end: no more of it may be written
-	partial  bool // a packet was written in part
+	writer  *bufio.Writer
+	answer  *answerSink // the present answer
+	partial bool        // a packet was written in part
 }
 
-var _ native.Sink = (*connection)(nil)
-
 func newConnection(f *Front, conn net.Conn) *connection {
 	return &connection{front: f, conn: conn, reader: native.NewReaderSize(conn, f.options.MaxPacketBytes, bufferBytes),
 		writer: bufio.NewWriterSize(conn, bufferBytes)}
--- a/frontend/clickhouse/query.go
+++ b/frontend/clickhouse/query.go
@@ -38,7 +38,7 @@
 	return frontend.Call{
 		Protocol: nodelist.ClickHouse,
 		Work: &native.Call{Query: q, Revision: c.revision, Database: c.hello.Database,
-			Tables: r.tables, Sink: c},
+			Tables: r.tables, Sink: c.answer},
 		Facts: classify.Facts{User: c.hello.User, Statement: q.Text, Command: "native.Query", Token: settings["insert_deduplication_token"],
 			Header: func(string) string { return "" }, Option: func(name string) string { return settings[name] }},
 		Remaining: time.Duration(positiveNumber(settings["max_execution_time"]) * float64(time.Second)),
