The ledger withholds an attempt beside another one where hedging isn't allowed

That no two attempts of a request are in flight was kept by the decision module alone, as effects and windows once were. Change: permit.Retrying knows whether hedging is allowed and refuses an attempt while an earlier one has not ended (attempt_in_flight); the ledger counts that as the fault 'forbidden'. The module decides as before; its own rule makes this one silent. Result: TestRetry (random states) and a case of TestLedgerGivesOneAnswer cover it; permit, dispatch and policy green. Tests of the ledger with two attempts say that hedging is allowed there.

--- a/dispatch/actions.go
+++ b/dispatch/actions.go
@@ -75,7 +75,7 @@
 	if e == nil {
 		return
 	}
-	number, ok := c.ledger.send(now, e, action.Endpoint, c.class(e.query))
+	number, ok := c.ledger.send(now, e, action.Endpoint, c.class(e.query), c.hedging)
 	if !ok {
 		c.reportUnsent(action, number, e.outcome != 0)
 		return
--- a/dispatch/core.go
+++ b/dispatch/core.go
@@ -21,6 +21,7 @@
 
 	draining    bool
 	maxInFlight int            // queries without a final answer; 0: no limit
+	hedging     bool           // a query may have two attempts in flight
 	classes     []policy.Class // of the settings in force
 	numbering   settingsNumbering
 
@@ -62,6 +63,7 @@
 		observer:    o,
 		ledger:      newLedger(),
 		maxInFlight: s.MaxInFlight,
+		hedging:     s.AllowHedging,
 		classes:     s.Classes,
 		numbering:   newNumbering(s),
 		seed:        seed,
--- a/dispatch/core_test.go
+++ b/dispatch/core_test.go
@@ -88,7 +88,7 @@
 }
 
 func newTestCore(s *scripted, t *tape) *Core {
-	return &Core{gateway: s, fleet: t, observer: t, ledger: newLedger()}
+	return &Core{gateway: s, fleet: t, observer: t, ledger: newLedger(), hedging: true}
 }
 
 // A client may leave in the very step that takes its query: the module, which is told of both, has sent it by then. Nothing
--- a/dispatch/entry.go
+++ b/dispatch/entry.go
@@ -70,14 +70,15 @@
 	return b.String()
 }
 
-// retryState is what decides whether another attempt may be sent; class is that of the settings in force.
-func (e *entry) retryState(now Micros, class policy.Class) permit.Retrying {
+// retryState is what decides whether another attempt may be sent; class and hedging are of the settings in force.
+func (e *entry) retryState(now Micros, class policy.Class, hedging bool) permit.Retrying {
 	r := permit.Retrying{
 		Now:         now,
 		Deadline:    e.query.Deadline,
 		Answered:    e.outcome != 0 || e.forwarded >= 0,
 		Effect:      class.Effect,
 		DedupWindow: class.DedupWindow,
+		Hedging:     hedging,
 	}
 	for _, a := range e.attempts {
 		r.Earlier = append(r.Earlier, permit.Attempt{Sent: a.sentAt, Ended: a.ended, Code: a.code})
--- a/dispatch/fault.go
+++ b/dispatch/fault.go
@@ -17,7 +17,7 @@
 	FaultDoubleAnswer FaultKind = "double_answer" // a second final answer, withheld
 	FaultForgotten    FaultKind = "forgotten"     // the deadline passed without an answer of the gateway
 	FaultLateSend     FaultKind = "late_send"     // a send after the final answer or the deadline, withheld
-	FaultForbidden    FaultKind = "forbidden"     // a retry that could have an effect twice, withheld
+	FaultForbidden    FaultKind = "forbidden"     // a retry that could have an effect twice, or run beside another one, withheld
 	FaultUnknown      FaultKind = "unknown_query" // an action that names a query which is not in the ledger
 	FaultDoubleID     FaultKind = "double_id"     // a query with the id of another in the ledger, rejected
 )
--- a/dispatch/ledger.go
+++ b/dispatch/ledger.go
@@ -85,11 +85,11 @@
 }
 
 // send adds an attempt; ok is false where it must not be sent. It is numbered all the same, as the gateway does.
-func (l *ledger) send(now Micros, e *entry, node string, class policy.Class) (number int, ok bool) {
+func (l *ledger) send(now Micros, e *entry, node string, class policy.Class, hedging bool) (number int, ok bool) {
 	number = len(e.attempts)
-	if reason := e.retryState(now, class).Retry(); reason != permit.Permitted {
+	if reason := e.retryState(now, class, hedging).Retry(); reason != permit.Permitted {
 		kind := FaultLateSend
-		if reason == permit.MayHaveRun || reason == permit.DedupWindow {
+		if reason == permit.AttemptInFlight || reason == permit.MayHaveRun || reason == permit.DedupWindow {
 			kind = FaultForbidden
 		}
 		l.fault(kind, e.query.ID, e)
--- a/dispatch/ledger_test.go
+++ b/dispatch/ledger_test.go
@@ -60,6 +60,8 @@
 			{5, []Event{ended(0, policy.ConnectionReset)}, []policy.Action{send2}}}, "send q/0 n1", []FaultKind{FaultForbidden}},
 		{"a second copy of what is out is withheld", []scriptedStep{{0, nil, []policy.Action{send}}, {5, nil, []policy.Action{send2}}},
 			"send q/0 n1", []FaultKind{FaultForbidden}},
+		{"a second attempt without hedging", []scriptedStep{{0, nil, []policy.Action{send}}, {5, nil, []policy.Action{send2}}},
+			"send q/0 n1", []FaultKind{FaultForbidden}},
 		{"what never ran is sent again", []scriptedStep{{0, nil, []policy.Action{send}},
 			{5, []Event{ended(0, policy.Rejected)}, []policy.Action{send2}}}, "send q/0 n1; send q/1 n2", nil},
 		{"a broken stream is failed at once", []scriptedStep{{0, nil, []policy.Action{send}}, {5, []Event{ResponseReady{"q", 0}}, nil},
@@ -81,6 +83,7 @@
 			log, s := &tape{}, &scripted{}
 			core := newTestCore(s, log)
 			core.classes = []policy.Class{{Effect: effectOf[c.name]}}
+			core.hedging = c.name != "a second attempt without hedging"
 			first := []Event{QueryReceived{log.query("q", 100*ms)}}
 			for i, st := range c.steps {
 				s.decide = func(Micros, []policy.Event) []policy.Action {
--- a/dispatch/settings_change.go
+++ b/dispatch/settings_change.go
@@ -98,7 +98,7 @@
 		}
 	}
 	c.numbering.add(ch.Serial, ch.Settings)
-	c.maxInFlight, c.classes = ch.Settings.MaxInFlight, ch.Settings.Classes
+	c.maxInFlight, c.classes, c.hedging = ch.Settings.MaxInFlight, ch.Settings.Classes, ch.Settings.AllowHedging
 	c.observer.Changed(ch.Serial, ch.Settings)
 	return nil
 }
--- a/permit/permit.go
+++ b/permit/permit.go
@@ -18,6 +18,7 @@
 	ClientDisconnected        // the client has disconnected
 	Deadline                  // the query's deadline has passed
 	DedupWindow               // servers may not recognize the key of an earlier attempt any more
+	AttemptInFlight           // an earlier attempt is in flight, and hedging is not allowed
 	MayHaveRun                // an earlier attempt may have run, and another one would have its effect twice
 	Answered                  // the final answer has been given, or is on its way to the client
 	Stopping                  // the dispatcher shuts down
@@ -28,7 +29,7 @@
 )
 
 var reasonNames = [reasonCount]string{"permitted", "draining", "client_gone", "deadline", "window",
-	"may_have_run", "answered", "stopping", "full", "owed", "reading"}
+	"attempt_in_flight", "may_have_run", "answered", "stopping", "full", "owed", "reading"}
 
 // String is the name of the reason in logs and metrics.
 func (r Reason) String() string { return reasonNames[r] }
@@ -131,6 +132,7 @@
 	Answered    bool
 	Effect      policy.Effect
 	DedupWindow policy.Micros // of queries with an idempotency key; 0: no limit
+	Hedging     bool          // another attempt may start while one is in flight
 	Earlier     []Attempt
 }
 
@@ -145,6 +147,8 @@
 	}
 	for _, a := range r.Earlier {
 		switch {
+		case !a.Ended && !r.Hedging:
+			return AttemptInFlight
 		case a.NeverRan():
 		case r.Effect == policy.NonIdempotent:
 			return MayHaveRun
--- a/permit/permit_test.go
+++ b/permit/permit_test.go
@@ -50,24 +50,25 @@
 }
 
 // A query that is not idempotent is retried only if every earlier attempt certainly never ran; one with a key only within
-// the window of the first that may have run; none after the answer or the deadline.
+// the window of the first that may have run; none after the answer or the deadline, nor beside another one without hedging.
 func TestRetry(t *testing.T) {
 	codes := []policy.Code{policy.OK, policy.Failed, policy.Rejected, policy.TimedOut, policy.ConnectionRefused, policy.ConnectionReset, policy.Cancelled, policy.NeverSent}
 	rapid.Check(t, func(t *rapid.T) {
 		r := Retrying{Now: rapid.Int64Range(0, 20).Draw(t, "now"), Deadline: rapid.Int64Range(0, 30).Draw(t, "due"),
-			Answered: rapid.Bool().Draw(t, "answered"), DedupWindow: rapid.Int64Range(0, 10).Draw(t, "window"),
+			Answered: rapid.Bool().Draw(t, "answered"), Hedging: rapid.Bool().Draw(t, "hedging"), DedupWindow: rapid.Int64Range(0, 10).Draw(t, "window"),
 			Effect: rapid.SampledFrom([]policy.Effect{policy.Idempotent, policy.IdempotentByKey, policy.NonIdempotent}).Draw(t, "effect")}
-		mayHaveRun, first := false, r.Now
+		mayHaveRun, first, inFlight := false, r.Now, false
 		for range rapid.IntRange(0, 3).Draw(t, "earlier") {
 			a := Attempt{Sent: rapid.Int64Range(0, r.Now).Draw(t, "sent"), Ended: rapid.Bool().Draw(t, "ended"), Code: rapid.SampledFrom(codes).Draw(t, "code")}
 			r.Earlier = append(r.Earlier, a)
+			inFlight = inFlight || !a.Ended
 			if !a.Ended || a.Code != policy.Rejected && a.Code != policy.ConnectionRefused && a.Code != policy.NeverSent {
 				mayHaveRun, first = true, min(first, a.Sent)
 			}
 		}
 		twice := mayHaveRun && r.Effect == policy.NonIdempotent
 		expired := mayHaveRun && r.Effect == policy.IdempotentByKey && r.DedupWindow > 0 && r.Now-first >= r.DedupWindow
-		want := !r.Answered && r.Now < r.Deadline && !twice && !expired
+		want := !r.Answered && r.Now < r.Deadline && !twice && !expired && (r.Hedging || !inFlight)
 		if got := r.Retry() == Permitted; got != want {
 			t.Errorf("%+v: %v, want permitted %v", r, r.Retry(), want)
 		}
