A retry at the node of a cancelled attempt waits until the cancel has been read

Callers could wait for their whole deadline: a node that reads the cancel of attempt 0 behind the request of attempt 1, which is on another connection, may cancel the wrong one. A cancel names the request, not the attempt. Change: a connection remembers the cancels written on it; a retry at that node first pings behind the cancel and waits for the answer, for the connect timeout at most; without one it was never sent. The node of TestAbandonedRequests answers pings now, as the protocol says. Where the connection has closed since, nothing is waited for.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -53,6 +53,9 @@
 		return nil, errWrongProtocol
 	}
 	t.unsent = true
+	if err := n.awaitCancelRead(ctx, t); err != nil {
+		return nil, err
+	}
 	for range maxPlatformConnAttempts {
 		c, err := n.acquirePlatformConn(ctx, t)
 		if errors.Is(err, syscall.ECONNRESET) && ctx.Err() == nil { // a new connection was reset: the machine is up
@@ -173,6 +176,7 @@
 	if errors.Is(context.Cause(ctx), errTimedOut) {
 		c.retire()
 	}
+	c.recordCancel(t)
 	if err := c.write(lineproto.AppendCancel(nil, t.call.ID)); err != nil { // closing the connection drops the request as well
 		c.close(err)
 	}
@@ -266,7 +270,7 @@
 	switch {
 	case errors.Is(err, errNodeAtCapacity):
 		return policy.Rejected, false
-	case errors.Is(err, errNodeExpired), errors.Is(err, errPoolExhausted): // not the node's fault
+	case errors.Is(err, errNodeExpired), errors.Is(err, errPoolExhausted), errors.Is(err, errCancelUnread): // not the node's fault
 		return policy.NeverSent, false
 	case errors.Is(err, errNodeFailed), errors.As(err, &format):
 		return policy.Failed, false
--- a/backend/platform_attempt_test.go
+++ b/backend/platform_attempt_test.go
@@ -321,6 +321,9 @@
 		if cmd.Verb == "DROP" {
 			reply(c, simulated.PlatformAnswer(cmd.ID, "data", "total=1", "late\t\t\n"))
 		}
+		if cmd.Verb == "PING" {
+			reply(c, simulated.PlatformAnswer(cmd.ID, "well", "", ""))
+		}
 		if cmd.Verb == "GET" && cmd.Text == "SELECT 1" && len(got) > 1 {
 			reply(c, simulated.PlatformAnswer(cmd.ID, "data", "total=1", "new\t\t\n"))
 		}
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -25,6 +25,9 @@
 	retired  bool                        // takes no more attempts
 	closed   bool
 
+	unreadCancels requestIDs               // cancelled requests whose cancel the node may not have read
+	barriers      map[string]chan struct{} // closed when the node has read the cancel of a request
+
 	discarded int // answers without an attempt; the reader's alone
 }
 
@@ -149,6 +152,9 @@
 			c.close(err)
 			return
 		}
+		if a.Kind == lineproto.Pong && c.confirmCancel(a.ID) {
+			continue
+		}
 		c.mu.Lock()
 		t := c.attempts[a.ID]
 		c.mu.Unlock()
--- a/backend/platform_late_answer_test.go
+++ b/backend/platform_late_answer_test.go
@@ -100,3 +100,54 @@
 	f.Cancel("q-other", 0)
 	f.end()
 }
+
+// A retry at the node of an attempt that was cancelled waits until the node has read the cancel, which names the request: read behind the
+// retry it would cancel that.
+func TestRetryWaitsForTheCancelBefore(t *testing.T) {
+	for name, reads := range map[string]bool{"the node reads it late": true, "the node reads no more": false} {
+		t.Run(name, func(t *testing.T) {
+			got, read := make(chan struct{}, 2), make(chan struct{})
+			node, err := simulated.NewPlatformNode("", func(c net.Conn, cmd simulated.PlatformCommand) {
+				switch {
+				case cmd.Verb == "PING":
+					reply(c, simulated.PlatformAnswer(cmd.ID, "well", "", ""))
+				case cmd.Verb != "GET":
+				case len(got) == 0: // reads on when it is told to
+					got <- struct{}{}
+					<-read
+				default:
+					reply(c, simulated.PlatformAnswer(cmd.ID, "data", "total=1", ""))
+				}
+			})
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer node.Close()
+			f := newPlatformFleet(t, Options{}, node.Address())
+			f.send("id", 0, "n0", 5*time.Second)
+			for len(got) == 0 {
+				time.Sleep(time.Millisecond)
+			}
+			f.Cancel("q-id", 0)
+			f.end()
+			f.send("id", 1, "n0", 5*time.Second)
+			want := policy.NeverSent
+			if reads {
+				want = policy.OK
+				close(read)
+			} else {
+				defer close(read)
+			}
+			if end := f.end(); end.Code != want {
+				t.Errorf("code %d (%v), want %d", end.Code, end.Err, want)
+			}
+			cancelled := false
+			for _, cmd := range node.Commands()[1:] {
+				cancelled = cancelled || cmd.Verb == "DROP"
+				if cmd.Verb == "GET" && !cancelled {
+					t.Errorf("the retry came before the cancel: %v", node.Commands())
+				}
+			}
+		})
+	}
+}
--- a/backend/platform_request_ids.go
+++ b/backend/platform_request_ids.go
@@ -32,5 +32,8 @@
 	r.order = append(r.order, id)
 }
 
-// size is how many ids are remembered.
+// remove forgets an id.
+func (r *requestIDs) remove(id string) { delete(r.until, id) }
+
+// size is how many ids are remembered, or were and are not expired.
 func (r *requestIDs) size() int { return len(r.order) }
--- a/soak/serverconn.go
+++ b/soak/serverconn.go
@@ -122,6 +122,8 @@
 		return c.get(words[1], words[2])
 	case "DROP":
 		c.finish(words[1])
+	case "PING":
+		c.write(simulated.PlatformAnswer(words[1], "well", "", ""))
 	case "PAGE":
 		if len(words) == 3 {
 			c.page(words[1], words[2])
