backend: log lines without a context of their own; gofmt

Need: the linter's contextcheck follows context.Background from the log lines into every caller of close. Change: the level chooses the method; the lines are as before.

--- a/backend/platform_log.go
+++ b/backend/platform_log.go
@@ -1,11 +1,6 @@
 package backend
 
-import (
-	"context"
-	"log/slog"
-
-	"embershunt/internal/lineproto"
-)
+import "embershunt/internal/lineproto"
 
 // maxLoggedDiscards bounds the discarded answers of one connection that are logged; all of them are counted.
 const maxLoggedDiscards = 8
@@ -15,41 +10,33 @@
 
 // logStart logs an attempt whose first bytes have been written.
 func (t *platformAttempt) logStart(c *platformConn) {
-	level := slog.LevelDebug
+	log := t.fleet.log.Debug
 	if t.spec.Number > 0 {
-		level = slog.LevelInfo
+		log = t.fleet.log.Info
 	}
-	t.logEvent(level, "attempt started", c)
+	log("attempt started", "query", t.spec.Query.ID, "trace", t.call.ID, "attempt", t.spec.Number, "node", t.spec.Node, "connection", c.id)
 }
 
 // logEnd logs how an attempt that was written ended. One that was abandoned ends with its client or its deadline: no other follows it.
 func (t *platformAttempt) logEnd(c *platformConn, err error) {
-	level := slog.LevelDebug
+	log := t.fleet.log.Debug
 	if err != nil && t.cancelledAt.Load() == 0 {
-		level = slog.LevelInfo
+		log = t.fleet.log.Info
 	}
 	t.mu.Lock()
 	received, total := t.result.ReceivedPages(), t.result.TotalPages()
 	t.mu.Unlock()
-	t.logEvent(level, "attempt over", c, "pages", received, "of", total, "error", err)
-}
-
-// logEvent logs an event of an attempt with what identifies it, its connection included.
-func (t *platformAttempt) logEvent(level slog.Level, message string, c *platformConn, more ...any) {
-	if !t.fleet.log.Enabled(context.Background(), level) {
-		return
-	}
-	args := []any{"query", t.spec.Query.ID, "trace", t.call.ID, "attempt", t.spec.Number, "node", t.spec.Node, "connection", c.id}
-	t.fleet.log.Log(context.Background(), level, message, append(args, more...)...)
+	log("attempt over", "query", t.spec.Query.ID, "trace", t.call.ID, "attempt", t.spec.Number, "node", t.spec.Node, "connection", c.id,
+		"pages", received, "of", total, "error", err)
 }
 
 // logClosed logs the close of a connection with its reason.
 func (c *platformConn) logClosed(attempts int, cause error) {
-	level := slog.LevelDebug
+	log := c.fleet.log.Debug
 	if attempts > 0 {
-		level = slog.LevelInfo
+		log = c.fleet.log.Info
 	}
-	c.fleet.log.Log(context.Background(), level, "node connection closed", "connection", c.id, "address", c.pool.address, "attempts", attempts, "cause", cause)
+	log("node connection closed", "connection", c.id, "address", c.pool.address, "attempts", attempts, "cause", cause)
 }
 
 // logDiscarded counts an answer that belongs to no attempt on its connection, and logs the first ones.
--- a/frontend/clickhouse/connection.go
+++ b/frontend/clickhouse/connection.go
@@ -38,7 +38,7 @@
 	payload       dispatch.PayloadReservation // of the present query's rows and tables; guarded by payloadAccount's lock
 	exceptionSent bool                        // the last packet may have been an Exception of this frontend
 
-	mu       sync.Mutex // guards what follows, and the order of writes
+	mu      sync.Mutex // guards what follows, and the order of writes
 	writer  *bufio.Writer
 	answer  *answerSink // the present answer
 	partial bool        // a packet was written in part
