soak: fleets of two servers whose pages get lost and whose answers come twice

Change: one plan in three has two servers, which lose pages and send answers again all the time beside the other faults.

--- a/soak/cluster.go
+++ b/soak/cluster.go
@@ -23,6 +23,7 @@
 	Clients     int // of each dispatcher
 	Descriptors int // file descriptors that each dispatcher may use
 	Behavior    ClientBehavior
+	BaseFaults  ServerFaults // of every server, while no others are injected
 }
 
 // Cluster is a deployment on loopback: dispatchers as processes, and simulated peers.
@@ -100,6 +101,7 @@
 	if err != nil {
 		return nil, err
 	}
+	s.SetFaults(c.options.BaseFaults)
 	c.mu.Lock()
 	c.servers[id] = s
 	c.endpoints = append(slices.Clone(c.endpoints), s.Node())
--- a/soak/faults.go
+++ b/soak/faults.go
@@ -20,13 +20,21 @@
 	IdleCrowd bool          // idle connections exhaust the descriptors now and then
 }
 
-// RandomPlan draws the plan of a seed: its size is given; client behavior, descriptors and the idle crowd are drawn.
+// smallFleet is the number of servers of the plans in which a retry has hardly another server to go to.
+const smallFleet = 2
+
+// RandomPlan draws the plan of a seed: its size is given; client behavior, descriptors, the idle crowd and whether there are so many
+// servers or a smallFleet with more faults are drawn.
 func RandomPlan(o Options, length time.Duration) Plan {
 	rng := rand.New(rand.NewPCG(o.Seed, 0))
 	o.Behavior = ClientBehavior{ThinkTime: time.Duration(100+rng.IntN(200)) * time.Millisecond, CancelShare: 0.1 * rng.Float64(), DisconnectShare: 0.1 * rng.Float64(),
 		BurstShare: 0.1 * rng.Float64(), SlowWriteShare: 0.2 * rng.Float64(), ImmediateRetryShare: rng.Float64()}
 	o.Descriptors = 160 + rng.IntN(200)
-	return Plan{Options: o, Length: length, IdleCrowd: rng.IntN(3) == 0}
+	crowd := rng.IntN(3) == 0
+	if rng.IntN(3) == 0 {
+		o.Servers, o.BaseFaults = smallFleet, ServerFaults{LostPages: 0.2, LateCopy: 0.2, Fail: 0.05}
+	}
+	return Plan{Options: o, Length: length, IdleCrowd: crowd}
 }
 
 // faultRunner injects faults into a cluster; each kind of fault draws from a source of its own.
@@ -118,7 +126,7 @@
 func (p *faultRunner) serverFaults(ctx context.Context, rng *rand.Rand, id string) {
 	s := p.Server(id)
 	for p.sleep(ctx, uniform(rng, time.Second, 8*time.Second)) {
-		var f ServerFaults
+		f := p.plan.BaseFaults
 		switch rng.IntN(9) {
 		case 0:
 			f.Hang = true
@@ -141,7 +149,7 @@
 		}
 		s.SetFaults(f)
 		p.sleep(ctx, uniform(rng, 500*time.Millisecond, 5*time.Second))
-		s.SetFaults(ServerFaults{})
+		s.SetFaults(p.plan.BaseFaults)
 	}
 }
 
@@ -197,14 +205,15 @@
 	p.restart(ctx, d)
 }
 
-// minHealthyServers is how many servers the endpoint list keeps healthy at least.
+// minHealthyServers is how many servers the endpoint list keeps healthy at least; one less than all where there are fewer.
 const minHealthyServers = 4
 
 // serverChanges drains, removes, crashes and adds servers.
 func (p *faultRunner) serverChanges(ctx context.Context, rng *rand.Rand) {
+	minimum := min(minHealthyServers, p.plan.Servers-1)
 	for p.sleep(ctx, uniform(rng, 200*time.Millisecond, 1500*time.Millisecond)) {
 		ids := p.HealthyServers()
-		if rng.IntN(3) == 0 || len(ids) <= minHealthyServers {
+		if rng.IntN(3) == 0 || len(ids) <= minimum {
 			_, _ = p.AddServer() // without a free port there is no new server this time
 			continue
 		}
--- a/soak/soak_test.go
+++ b/soak/soak_test.go
@@ -42,7 +42,7 @@
 			if len(found) > 0 {
 				t.Errorf("violations by invariant: %v", counts)
 			}
-			t.Logf("crowd %v; %s", plan.IdleCrowd, record.Summary())
+			t.Logf("crowd %v, %d servers; %s", plan.IdleCrowd, plan.Servers, record.Summary())
 		})
 	}
 }
