soak: a request that waited in the socket's buffer counts as come when it may have

Need: a node that reads a new connection late took what it read within 30 ms of that as waiting before; beside other work it reads later, and the checker blamed the dispatcher. Change: the bytes that wait when reading begins are counted (MSG_PEEK), so that no time is assumed.

--- a/soak/serverconn.go
+++ b/soak/serverconn.go
@@ -19,8 +19,10 @@
 	conn   net.Conn
 	number int // among the connections of its server
 
-	opened   time.Duration
-	readFrom time.Duration // when reading from the connection began
+	opened time.Duration
+	input  countingReader
+	reader *bufio.Reader // on input
+	waited int64         // bytes that were there when reading began
 
 	mu      sync.Mutex
 	pending map[string]*pendingRequest // by request ID
@@ -45,30 +47,31 @@
 	}
 	c.opened = s.record.now()
 	time.Sleep(f.ReadDelay)
-	c.readFrom = s.record.now()
-	r := bufio.NewReader(conn)
+	c.input.conn, c.waited = conn, unreadBytes(conn)
+	c.reader = bufio.NewReader(&c.input)
 	for {
 		c.setIdleDeadline()
-		line, err := r.ReadString('\n')
+		begin := c.position()
+		line, err := c.reader.ReadString('\n')
 		if err != nil {
 			return
 		}
-		if !c.command(r, strings.Fields(line)) {
+		if !c.command(strings.Fields(line), begin) {
 			return
 		}
 	}
 }
 
-// lateReadWindow is how long after reading began bytes may be read that had waited in the socket's buffer.
-const lateReadWindow = 30 * time.Millisecond
+// position counts the bytes of the commands that have been read.
+func (c *serverConn) position() int64 { return c.input.read - int64(c.reader.Buffered()) }
 
-// arrivedAt is when a request that has just been read reached the node's machine, at the earliest.
-func (c *serverConn) arrivedAt() time.Duration {
-	now := c.server.record.now()
-	if now-c.readFrom < lateReadWindow {
+// arrivedAt is when a request that began at a position and has just been read reached the node's machine, at the earliest: one that
+// waited in the socket's buffer when reading began may have come as soon as the connection was open.
+func (c *serverConn) arrivedAt(begin int64) time.Duration {
+	if begin < c.waited {
 		return c.opened
 	}
-	return now
+	return c.server.record.now()
 }
 
 // setIdleDeadline bounds the wait for the next command where no request is pending.
@@ -101,8 +104,8 @@
 	}
 }
 
-// command carries out one command; false where the connection is to be closed.
-func (c *serverConn) command(r *bufio.Reader, words []string) bool {
+// command carries out one command that began at a position; false where the connection is to be closed.
+func (c *serverConn) command(words []string, begin int64) bool {
 	if len(words) < 2 {
 		return false
 	}
@@ -116,10 +119,10 @@
 			return false
 		}
 		text := make([]byte, length+2)
-		if _, err := io.ReadFull(r, text); err != nil {
+		if _, err := io.ReadFull(c.reader, text); err != nil {
 			return false
 		}
-		return c.get(words[1], words[2])
+		return c.get(words[1], words[2], begin)
 	case "DROP":
 		c.finish(words[1])
 	case "PING":
@@ -178,9 +181,9 @@
 }
 
 // get records a request and carries it out, subject to the current faults; false where the connection is to be closed.
-func (c *serverConn) get(id, fields string) bool {
+func (c *serverConn) get(id, fields string, begin int64) bool {
 	f, record := c.server.currentFaults(), c.server.record
-	a := &Arrival{ID: id, Node: c.server.id, Conn: c.number, At: c.arrivedAt()}
+	a := &Arrival{ID: id, Node: c.server.id, Conn: c.number, At: c.arrivedAt(begin)}
 	meanWork := a.parseFields(fields)
 	record.addArrival(a)
 	duration := c.server.drawWork(meanWork, max(f.Slowdown, 1))
