PostgreSQL: a cancel on a connection that is evicted unread is heard

Cause: a connection that is closed to make room before its first message was read discarded that message, a cancel too. Evidence: TestCancelOnAnEvictedConnection fails on the commit before (the cancel was not heard) and passes now. Change: the first message of a closing session is handled where it is a whole CancelRequest.

--- a/frontend/postgres/cancel_test.go
+++ b/frontend/postgres/cancel_test.go
@@ -1,6 +1,7 @@
 package postgres
 
 import (
+	"net"
 	"testing"
 	"time"
 
@@ -100,3 +101,39 @@
 	}
 	s.waitForOpen(0)
 }
+
+// A cancel on a connection that is closed to make room, before it was read, is heard all the same.
+func TestCancelOnAnEvictedConnection(t *testing.T) {
+	s := startServer(t, Options{}, nil)
+	a := s.session()
+	send(a, queryWithFields(1, "SELECT 1"))
+	s.waitForOpen(1)
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(t, l)
+	client, err := net.Dial("tcp", l.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer closeConn(t, client)
+	send(client, cancelRequest(a.key))
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	evictedSession := newSession(s.front, conn, false)
+	if !evictedSession.beginClose(evicted) {
+		t.Fatal("the session does not close")
+	}
+	evictedSession.run()
+	select {
+	case id := <-s.dispatcher.disconnected:
+		if id[14:] != "01" {
+			t.Errorf("%s disconnected, want 01", id)
+		}
+	default:
+		t.Error("the cancel was not heard")
+	}
+}
--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -138,8 +138,10 @@
 		}
 		// A first query that is on its way may be sent elsewhere.
 		if isTimeout(err) && s.waitTimedOut() || err == nil && !s.startMessage(s.state.startedAt) {
-			s.closeGracefully(r)
-			return false
+			if !s.awaitCancel(r) {
+				s.closeGracefully(r)
+				return false
+			}
 		}
 		m, err := pgwire.ReadStart(r)
 		if err != nil {
@@ -163,6 +165,12 @@
 	return false
 }
 
+// awaitCancel tells whether the first message of a closing session is a cancel of another one: that is heard all the same.
+func (s *session) awaitCancel(r *bufio.Reader) bool {
+	s.setReadDeadline(time.Now().Add(drainInputTimeout))
+	return pgwire.PeekCancel(r)
+}
+
 // reject ends a session for which there is no capacity.
 func (s *session) reject(r *bufio.Reader) {
 	s.front.rejected.Add(1)
--- a/internal/pgwire/start.go
+++ b/internal/pgwire/start.go
@@ -71,6 +71,12 @@
 	return Start{}, malformed("protocol version %d.%d, allowed is 3.0", code>>16, code&0xffff)
 }
 
+// PeekCancel tells whether a connection's first message is a whole CancelRequest, and leaves it unread.
+func PeekCancel(r *bufio.Reader) bool {
+	head, err := r.Peek(cancelBytes)
+	return err == nil && binary.BigEndian.Uint32(head) == cancelBytes && binary.BigEndian.Uint32(head[4:]) == cancelCode
+}
+
 // readCancel reads the rest of a CancelRequest.
 func readCancel(r *bufio.Reader, length uint32) (Start, error) {
 	if length != cancelBytes {
