--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -174,7 +174,7 @@
 	t.done = true
 	t.mu.Unlock()
 	if errors.Is(context.Cause(ctx), errTimedOut) {
-		c.retire()
+		c.markRetired()
 	}
 	c.recordCancel(t)
 	if err := c.write(lineproto.AppendCancel(nil, t.call.ID)); err != nil { // closing the connection drops the request as well
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -80,15 +80,15 @@
 	return len(c.attempts)
 }
 
-// retire has the connection take no more attempts: it is closed when it is idle.
-func (c *platformConn) retire() {
+// markRetired has the connection take no more attempts: it is closed when it is idle.
+func (c *platformConn) markRetired() {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	c.retired = true
 }
 
-// retireIdle retires a connection whose idle time is over; false where an attempt was added in that moment.
-func (c *platformConn) retireIdle() bool {
+// markRetiredIfIdle retires a connection whose idle time is over; false where an attempt was added in that moment.
+func (c *platformConn) markRetiredIfIdle() bool {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if len(c.attempts) > 0 {
@@ -140,7 +140,7 @@
 	r := lineproto.NewReader(c.conn)
 	for {
 		err := r.Await()
-		if errors.Is(err, os.ErrDeadlineExceeded) && !c.retireIdle() {
+		if errors.Is(err, os.ErrDeadlineExceeded) && !c.markRetiredIfIdle() {
 			continue
 		}
 		if err != nil {
