A retry whose deadline passes while it waits for a cancel was never sent

Callers see no difference; the node was taken for one that refuses connections, and put through a slow start. Evidence: a case of TestRetryWaitsForTheCancelBefore gets code 4 (refused) before, 7 (never sent) now.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -270,7 +270,7 @@
 	switch {
 	case errors.Is(err, errNodeAtCapacity):
 		return policy.Rejected, false
-	case errors.Is(err, errNodeExpired), errors.Is(err, errPoolExhausted), errors.Is(err, errCancelUnread): // not the node's fault
+	case errors.Is(err, errNodeExpired), errors.Is(err, errPoolExhausted): // not the node's fault
 		return policy.NeverSent, false
 	case errors.Is(err, errNodeFailed), errors.As(err, &format):
 		return policy.Failed, false
--- a/backend/platform_cancel_barrier.go
+++ b/backend/platform_cancel_barrier.go
@@ -2,7 +2,7 @@
 
 import (
 	"context"
-	"errors"
+	"fmt"
 	"strings"
 
 	"embershunt/internal/lineproto"
@@ -12,7 +12,7 @@
 // request may cancel the retry. So a retry at the same node waits until a ping behind the cancel has been answered.
 
 // errCancelUnread means that a node may not have read the cancel of the attempt before.
-var errCancelUnread = errors.New("the node has not confirmed that it read the cancel of the attempt before")
+var errCancelUnread = fmt.Errorf("the node has not confirmed that it read the cancel of the attempt before: %w", errNeverSent)
 
 // barrierTagPrefix begins the tags of such pings; the request's id follows.
 const barrierTagPrefix = "cancelled-"
--- a/backend/platform_late_answer_test.go
+++ b/backend/platform_late_answer_test.go
@@ -104,7 +104,9 @@
 // A retry at the node of an attempt that was cancelled waits until the node has read the cancel, which names the request: read behind the
 // retry it would cancel that.
 func TestRetryWaitsForTheCancelBefore(t *testing.T) {
-	for name, reads := range map[string]bool{"the node reads it late": true, "the node reads no more": false} {
+	for name, timeout := range map[string]time.Duration{"the node reads it late": 5 * time.Second, "the node reads no more": 5 * time.Second,
+		"the deadline comes first": 20 * time.Millisecond} {
+		reads := name == "the node reads it late"
 		t.Run(name, func(t *testing.T) {
 			got, read := make(chan struct{}, 2), make(chan struct{})
 			node, err := simulated.NewPlatformNode("", func(c net.Conn, cmd simulated.PlatformCommand) {
@@ -130,7 +132,7 @@
 			}
 			f.Cancel("q-id", 0)
 			f.end()
-			f.send("id", 1, "n0", 5*time.Second)
+			f.send("id", 1, "n0", timeout)
 			want := policy.NeverSent
 			if reads {
 				want = policy.OK
