--- a/soak/drain_test.go
+++ b/soak/drain_test.go
@@ -34,13 +34,13 @@
 // smallCluster starts four dispatchers and six servers.
 func smallCluster(t *testing.T, seed uint64) *soak.Cluster {
 	t.Helper()
-	return newCluster(t, soak.Options{Seed: seed, Dispatchers: 4, Servers: 6, Clients: 4})
+	return newCluster(t, soak.Options{Seed: seed, Dispatchers: 4, Servers: 6, Clients: 4, Descriptors: 256})
 }
 
 // newCluster starts a cluster of the given size whose clients send often.
 func newCluster(t *testing.T, o soak.Options) *soak.Cluster {
 	t.Helper()
-	o.Program, o.Directory, o.Descriptors = program, t.TempDir(), 256
+	o.Program, o.Directory = program, t.TempDir()
 	o.Behavior = soak.ClientBehavior{ThinkTime: 40 * time.Millisecond}
 	c, err := soak.NewCluster(t.Context(), o)
 	if err != nil {
