--- a/backend/platform_pool.go
+++ b/backend/platform_pool.go
@@ -130,7 +130,7 @@
 	return c
 }
 
-// shareBusy adds an attempt to the busy connection with the fewest attempts; nil where all have maxAttempts or take it not.
+// shareBusy adds an attempt to the busy connection with the fewest attempts; nil where all have maxAttempts or do not take it.
 func (p *platformPool) shareBusy(t *platformAttempt, maxAttempts int) *platformConn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
