--- a/review/standin/nameservice.go
+++ b/review/standin/nameservice.go
@@ -18,6 +18,8 @@
 
 // NameService answers DNS queries for the list over UDP. The number of the list counts from 1.
 type NameService struct {
+	Mutate func([]byte) []byte // changes each answer; nil: none is changed
+
 	record *Record
 	conn   *net.UDPConn
 
@@ -77,7 +79,11 @@
 		}
 		s.mu.Lock()
 		if !s.silent && n > 12 {
-			_, _ = s.conn.WriteToUDPAddrPort(s.answer(buf[:n]), from) // a failure is like a lost datagram
+			b := s.answer(buf[:n])
+			if s.Mutate != nil {
+				b = s.Mutate(b)
+			}
+			_, _ = s.conn.WriteToUDPAddrPort(b, from) // a failure is like a lost datagram
 		}
 		s.mu.Unlock()
 	}
