Review case 2: older lists bring a drained node back within three seconds

Cause: five answers in a row with a lower number replace the number in force, and ten more make a drained node ready again, though the numbers of the name service only rise while a dispatcher lives.

The stand-in for the name service keeps its older lists.

--- a/review/2/main.go
+++ b/review/2/main.go
@@ -1,13 +1,12 @@
-// Case 2: clients that have sent many requests at once go, and the dispatcher goes on sending their requests to compute nodes.
-// It exits with 1 if an attempt began more than 0.1 s (and the 50 ms of every time limit) after its client had gone, 0 if none did, and 2 if
-// it could not run.
+// Case 2: a compute node drains, and the dispatcher is told so. Then the name service's answers bring an older list for 3 s, and the
+// dispatcher sends new requests to the draining node again. It exits with 1 if a request began at the draining node later than the grace
+// after the dispatcher was told, 0 if none did, and 2 if it could not run.
 package main
 
 import (
 	"fmt"
 	"math/rand/v2"
 	"os"
-	"strings"
 	"sync"
 	"time"
 
@@ -15,22 +14,14 @@
 )
 
 const (
-	sessions      = 6
-	commands      = 40                     // of each session
-	patience      = 8 * time.Second        // of each request
-	work          = 400 * time.Millisecond // of each request at a node
-	statementSize = 1500
-	leaveAfter    = 1350 * time.Millisecond // after the commands were sent
-	slack         = 150 * time.Millisecond  // 0.1 s after a client has gone, and the 50 ms by which every time limit is extended
+	clients  = 8
+	patience = 4 * time.Second
+	work     = 20 * time.Millisecond
+	grace    = time.Second           // stopSendingWithinUs in the settings
+	slack    = 50 * time.Millisecond // by which every time limit is extended
+	older    = 3 * time.Second       // how long answers bring an older list
 )
 
-// session is what one client did.
-type session struct {
-	ids  []string
-	gone time.Time // when it had written its CancelRequest, or closed its connection; zero: it stayed
-	err  error
-}
-
 func main() { os.Exit(run()) }
 
 func run() int {
@@ -52,7 +43,7 @@
 	defer func() { _ = os.RemoveAll(dir) }()
 	var rows []standin.Row
 	var nodes []*standin.Node
-	for i := range 3 {
+	for i := range 4 {
 		n, err := standin.NewNode(record, fmt.Sprintf("s-%d", i), "", func(q *standin.Request) { q.Serve(work) })
 		if err != nil {
 			return fail(err)
@@ -76,97 +67,93 @@
 		return fail(err)
 	}
 	var wg sync.WaitGroup
-	all := make([]session, sessions)
-	for i := range sessions {
+	stop := make(chan struct{})
+	errs := make([]error, clients)
+	for i := range clients {
 		wg.Add(1)
 		go func() {
 			defer wg.Done()
-			all[i] = atOnce(record, d.Listen, i, trouble, i%2 == 0)
+			errs[i] = ask(record, d.Listen, i, stop)
 		}()
 	}
+	time.Sleep(2 * time.Second)
+
+	// The drain, and several good answers that tell it. The node stays up and goes on serving what it gets.
+	draining := append([]standin.Row(nil), rows...)
+	draining[0].Draining = true
+	number := names.Set(draining)
+	for names.Answers(number) == 0 {
+		time.Sleep(time.Millisecond)
+	}
+	told := time.Now()
+	record.Printf("the dispatcher has been told that s-0 drains")
+	for names.Answers(number) < 5 && time.Since(told) < 5*time.Second {
+		time.Sleep(time.Millisecond)
+	}
+	names.SetOlder(trouble)
+	time.Sleep(older)
+	names.SetOlder(false)
+	time.Sleep(2 * time.Second)
+	close(stop)
 	wg.Wait()
-	for _, s := range all {
-		if s.err != nil {
-			return fail(s.err)
+	for _, err := range errs {
+		if err != nil {
+			return fail(err)
 		}
 	}
-	time.Sleep(3 * time.Second) // for attempts that begin late
 	if d.Ended() {
 		record.Verdict("broken: the dispatcher has ended")
 		return 1
 	}
-	return judge(record, all, nodes)
+	return judge(record, nodes, told)
 }
 
-// atOnce sends all commands at once. With leave set the client goes after leaveAfter: it sends a CancelRequest and closes half a second
-// later, or closes without a word. Else it stays until all commands have their answers.
-func atOnce(record *standin.Record, address string, number int, leave, cancels bool) (s session) {
+// ask sends one request after the other until stop is closed.
+func ask(record *standin.Record, address string, number int, stop chan struct{}) error {
 	c, err := standin.Dial(address)
 	if err != nil {
-		return session{err: err}
+		return err
 	}
 	defer c.Close()
-	var messages []byte
-	for i := range commands {
-		id := fmt.Sprintf("%08x%04x%04x", rand.Uint32(), number, i)
-		text := fmt.Sprintf("/* route=lookup,trace=%s,patience=%d */ SELECT day, note FROM sales_17.orders WHERE tag = '", id, patience.Milliseconds())
-		messages = append(messages, standin.QueryMessage(text+strings.Repeat("x", statementSize-len(text)-1)+"'")...)
-		s.ids = append(s.ids, id)
-		record.Printf("client %d: sends %s", number, id)
-	}
-	if s.err = c.SendBytes(messages); s.err != nil {
-		return s
-	}
-	leaves := time.Now().Add(leaveAfter)
-	for i := 0; i < commands; i++ {
-		until := time.Now().Add(2 * patience)
-		if leave {
-			until = leaves
+	for {
+		select {
+		case <-stop:
+			return nil
+		case <-time.After(time.Duration(10+rand.IntN(20)) * time.Millisecond):
+		}
+		id := fmt.Sprintf("%016x", rand.Uint64())
+		if err := c.Send(fmt.Sprintf("/* route=lookup,trace=%s,patience=%d */ SELECT day FROM sales_%d.orders", id, patience.Milliseconds(), rand.IntN(9))); err != nil {
+			return err
 		}
-		a := c.Read(until)
+		record.Printf("client %d: sent %s", number, id)
+		a := c.Read(time.Now().Add(patience + time.Second))
 		if a.Err != nil {
-			break
+			return a.Err
 		}
-		record.Printf("client %d: %s %s %s", number, a.Kind(), s.ids[i], a.Code)
+		record.Printf("client %d: %s %s", number, a.Kind(), id)
 	}
-	if !leave {
-		return s
-	}
-	if cancels {
-		c.Cancel(address)
-		s.gone = time.Now()
-		record.Printf("client %d: has sent its CancelRequest", number)
-		time.Sleep(500 * time.Millisecond)
-	}
-	c.Close()
-	record.Printf("client %d: has closed", number)
-	if s.gone.IsZero() {
-		s.gone = time.Now()
-	}
-	return s
 }
 
-// judge counts the attempts that began after their client had gone.
-func judge(record *standin.Record, all []session, nodes []*standin.Node) int {
-	gone := map[string]time.Time{}
-	for _, s := range all {
-		for _, id := range s.ids {
-			gone[id] = s.gone
-		}
-	}
-	attempts, late, latest := 0, 0, time.Duration(0)
+// judge counts the requests that reached the draining node too late.
+func judge(record *standin.Record, nodes []*standin.Node, told time.Time) int {
+	all, late, first, last := 0, 0, time.Duration(0), time.Duration(0)
 	for _, n := range nodes {
 		for _, r := range n.Requests() {
-			attempts++
-			if at := gone[r.ID]; !at.IsZero() && r.At.Sub(at) > slack {
+			all++
+			if after := r.At.Sub(told); n == nodes[0] && after > grace+slack {
 				late++
-				latest = max(latest, r.At.Sub(at))
-				record.Printf("broken: %s reached %s %.3f s after its client had gone", r.ID, r.Node, r.At.Sub(at).Seconds())
+				if first == 0 {
+					first = after
+				}
+				last = max(last, after)
+				record.Printf("broken: %s reached %s %.3f s after the dispatcher was told that it drains", r.ID, r.Node, after.Seconds())
 			}
 		}
 	}
-	record.Verdict("%d attempts; %d began more than %v after their client had gone, the last %.3f s after it", attempts, late, slack, latest.Seconds())
+	record.Verdict("%d requests at nodes; at the draining node later than %v after the dispatcher was told: %d, from %.3f s to %.3f s",
+		all, grace+slack, late, first.Seconds(), last.Seconds())
 	if late > 0 {
+		record.Verdict("rule 3 is broken")
 		return 1
 	}
 	return 0
--- a/review/standin/nameservice.go
+++ b/review/standin/nameservice.go
@@ -18,15 +18,20 @@
 
 // NameService answers DNS queries for the list over UDP. The number of the list counts from 1.
 type NameService struct {
-	Mutate func([]byte) []byte // changes each answer; nil: none is changed
-
 	record *Record
 	conn   *net.UDPConn
 
 	mu     sync.Mutex
-	number int
-	rows   []Row
+	lists  []*list // by number; the last one is current
 	silent bool
+	older  bool
+}
+
+// list is a list under its number.
+type list struct {
+	number  int
+	rows    []Row
+	answers int // that have brought it
 }
 
 // NewNameService starts a name service with a first list.
@@ -39,7 +44,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &NameService{record: r, number: 1, rows: rows}
+	s := &NameService{record: r, lists: []*list{{number: 1, rows: rows}}}
 	if s.conn, err = net.ListenUDP("udp4", a); err != nil {
 		return nil, err
 	}
@@ -54,9 +59,25 @@
 func (s *NameService) Set(rows []Row) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	s.rows, s.number = rows, s.number+1
-	s.record.Printf("name service: list %d: %+v", s.number, rows)
-	return s.number
+	number := len(s.lists) + 1
+	s.lists = append(s.lists, &list{number: number, rows: rows})
+	s.record.Printf("name service: list %d: %+v", number, rows)
+	return number
+}
+
+// Answers returns how many answers have brought a list.
+func (s *NameService) Answers(number int) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.lists[number-1].answers
+}
+
+// SetOlder makes each answer bring the list before the current one, with that list's number, or the current one again.
+func (s *NameService) SetOlder(older bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.older = older
+	s.record.Printf("name service: older lists %v", older)
 }
 
 // SetSilent makes the name service answer nothing, or answer again.
@@ -79,11 +100,13 @@
 		}
 		s.mu.Lock()
 		if !s.silent && n > 12 {
-			b := s.answer(buf[:n])
-			if s.Mutate != nil {
-				b = s.Mutate(b)
+			list := s.lists[len(s.lists)-1]
+			if s.older {
+				list = s.lists[max(0, len(s.lists)-2)]
 			}
-			_, _ = s.conn.WriteToUDPAddrPort(b, from) // a failure is like a lost datagram
+			list.answers++
+			s.record.Printf("name service: answer with list %d", list.number)
+			_, _ = s.conn.WriteToUDPAddrPort(list.answer(buf[:n]), from) // a failure is like a lost datagram
 		}
 		s.mu.Unlock()
 	}
@@ -108,7 +131,7 @@
 }
 
 // answer returns the answer to a query, whose header and question it repeats.
-func (s *NameService) answer(query []byte) []byte {
+func (s *list) answer(query []byte) []byte {
 	const service = "_api._tcp.svc.local"
 	end := 12 + len(appendName(nil, service)) + 4
 	b := append([]byte(nil), query[:min(end, len(query))]...)
--- a/review/standin/node.go
+++ b/review/standin/node.go
@@ -192,13 +192,6 @@
 	_, _ = fmt.Fprintf(c.conn, "%s %s %s %d\r\n%s\r\n", id, word, fields, len(body), body)
 }
 
-// Raw writes bytes.
-func (c *NodeConn) Raw(b []byte) {
-	c.writeMu.Lock()
-	defer c.writeMu.Unlock()
-	_, _ = c.conn.Write(b)
-}
-
 // Finish ends a request with an answer. It does nothing, and returns false, if the request was given up.
 func (q *Request) Finish(word, fields, body string) bool {
 	if q.Conn.take(q.ID) == nil {
