--- a/review/2/main.go
+++ b/review/2/main.go
@@ -96,15 +96,15 @@
 	time.Sleep(2 * time.Second)
 	close(stop)
 	wg.Wait()
+	if d.Ended() {
+		record.Verdict("broken: the dispatcher has ended")
+		return 1
+	}
 	for _, err := range errs {
 		if err != nil {
 			return fail(err)
 		}
 	}
-	if d.Ended() {
-		record.Verdict("broken: the dispatcher has ended")
-		return 1
-	}
 	return judge(record, nodes, told)
 }
 
--- a/review/3/main.go
+++ b/review/3/main.go
@@ -85,16 +85,16 @@
 		}()
 	}
 	wg.Wait()
+	if d.Ended() {
+		record.Verdict("broken: the dispatcher has ended")
+		return 1
+	}
 	for _, s := range all {
 		if s.err != nil {
 			return fail(s.err)
 		}
 	}
 	time.Sleep(3 * time.Second) // for attempts that begin late
-	if d.Ended() {
-		record.Verdict("broken: the dispatcher has ended")
-		return 1
-	}
 	return judge(record, all, nodes)
 }
 
--- a/review/standin/dispatcher.go
+++ b/review/standin/dispatcher.go
@@ -9,11 +9,19 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strconv"
 	"syscall"
 	"time"
 )
 
+// The main goroutine keeps the main thread, which lives as long as the process: a child's parent-death signal is bound to the thread that
+// has started it. Dispatchers are started by the main goroutine.
+func init() { runtime.LockOSThread() }
+
+// longest is how long a case may run.
+const longest = 110 * time.Second
+
 // Object is a JSON object.
 type Object = map[string]any
 
@@ -131,6 +139,7 @@
 	d.cmd.Dir = root
 	d.cmd.Env = append(os.Environ(), "NODE_NAME="+d.Name, "NODE_LISTEN="+d.Listen, "NODE_CONFIG="+d.ConfigPath, "TMPDIR="+d.dir)
 	d.cmd.Stdout, d.cmd.Stderr = d.log, d.log
+	d.cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL} // it ends with the case, however that ends
 	if err := d.cmd.Start(); err != nil {
 		return err
 	}
--- a/review/standin/record.go
+++ b/review/standin/record.go
@@ -19,13 +19,19 @@
 	out  *bufio.Writer
 }
 
-// NewRecord creates the file.
+// NewRecord creates the file. A case that still runs after longest ends as one that could not run.
 func NewRecord(path string) (*Record, error) {
 	f, err := os.Create(path)
 	if err != nil {
 		return nil, err
 	}
-	return &Record{start: time.Now(), file: f, out: bufio.NewWriter(f)}, nil
+	r := &Record{start: time.Now(), file: f, out: bufio.NewWriter(f)}
+	time.AfterFunc(longest, func() {
+		r.Verdict("cannot run: not done within %v", longest)
+		r.Close()
+		os.Exit(2)
+	})
+	return r, nil
 }
 
 // Now returns the time since the start.
