A client that has gone takes its unread commands along

Cause: a session takes what it has read for all that its client has sent. Its reader stops at 128 commands or 32 KiB and waits for room. A cancel marked only the commands that had been read, and the reader went on to submit the rest; while it waited it saw no end of the connection either, so the worker took the next command. Evidence: the late attempts of cancelled clients are of commands behind the read-ahead, those of closed ones are the next command of the queue; with the order forced, tests fail without any timing.

Change: a reader that waits for room waits for the peer's end of the connection too (POLLRDHUP, which unread bytes don't hide). After a cancel the reader reads on whatever the queue holds, and what it reads is cancelled and takes no memory, until a read that began after the cancel finds the socket empty; answers wait for that, 50 ms at most, so what the client sends when it has its answers is new. Half a message before the cancel, and several commands before a cancel that found nothing pending, were the same fault.

--- a/frontend/postgres/answer.go
+++ b/frontend/postgres/answer.go
@@ -25,9 +25,9 @@
 	codeUnsupported        = "0A000"
 )
 
-// appendError appends an error after which the session continues.
-func appendError(b []byte, code, message string) []byte {
-	return pgwire.AppendReady(pgwire.AppendError(b, pgwire.Error, code, message))
+// encodeError encodes an error after which the session continues.
+func encodeError(code, message string) []byte {
+	return pgwire.AppendReady(pgwire.AppendError(nil, pgwire.Error, code, message))
 }
 
 // encodeOutcome encodes a query's outcome as the messages of its answer.
@@ -48,12 +48,12 @@
 	if pauseMillis := o.RetryAfter / 1000; pauseMillis > 0 {
 		message += fmt.Sprintf("; pause=%d", pauseMillis)
 	}
-	return appendError(nil, code, message)
+	return encodeError(code, message)
 }
 
 // encodeFailure encodes the failure of a query that may have run.
 func encodeFailure(reason dispatch.Reason) []byte {
-	return appendError(nil, failureCode(reason), "failed: "+string(reason))
+	return encodeError(failureCode(reason), "failed: "+string(reason))
 }
 
 // failureCode returns the SQLSTATE of a failure.
--- a/frontend/postgres/cancel_test.go
+++ b/frontend/postgres/cancel_test.go
@@ -123,7 +123,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	evictedSession := newSession(s.frontend, conn, false)
+	evictedSession := newSession(s.frontend, conn.(clientConn), false)
 	if !evictedSession.beginClose(evicted) {
 		t.Fatal("the session does not close")
 	}
--- a/frontend/postgres/frontend.go
+++ b/frontend/postgres/frontend.go
@@ -3,7 +3,8 @@
 // dispatcher's loop, not here.
 //
 // session_state.go has the states of a session and their transitions; session.go reads a session's messages, session_worker.go answers
-// them, and session_close.go closes the session. eviction.go chooses the session that is closed to make room for another client.
+// them, and session_close.go closes the session. session_cancel.go decides which commands a cancel applies to, and hangup.go notices the
+// end of a connection behind unread commands. eviction.go chooses the session that is closed to make room for another client.
 package postgres
 
 import (
@@ -96,7 +97,8 @@
 	return open
 }
 
-// Listener is a listener whose Accept can be interrupted by a deadline, such as a *net.TCPListener.
+// Listener is a listener whose Accept can be interrupted by a deadline, such as a *net.TCPListener. Its connections have the methods of
+// clientConn; others are closed at once.
 type Listener interface {
 	net.Listener
 	SetDeadline(time.Time) error
@@ -194,7 +196,13 @@
 // accept starts a session for a connection. At the bound on sessions it evicts one first. If none can be evicted, the new session may only
 // cancel another session's query, and is rejected otherwise. If too many sessions are closing besides, one of them is aborted; if that is
 // not possible either, the new connection is closed at once.
-func (f *Frontend) accept(conn net.Conn) {
+func (f *Frontend) accept(accepted net.Conn) {
+	conn, ok := accepted.(clientConn)
+	if !ok {
+		f.rejected.Add(1)
+		_ = accepted.Close() // nothing was read from it
+		return
+	}
 	f.mu.Lock()
 	atBound := len(f.sessions) >= f.options.MaxSessions && f.openSessions() >= f.options.MaxSessions
 	f.mu.Unlock()
--- a/frontend/postgres/server_test.go
+++ b/frontend/postgres/server_test.go
@@ -27,6 +27,8 @@
 	answer func(q *dispatch.Query) (dispatch.Outcome, bool) // false: the query stays open; nil: all do
 
 	mu           sync.Mutex
+	stopped      bool                       // queries are rejected
+	rejected     int                        // queries that stop found open, or that came after it
 	open         map[string]*dispatch.Query // by the dispatcher's id
 	disconnected chan string                // ids, as clients state them, of open queries whose client disconnected
 }
@@ -34,9 +36,9 @@
 func (d *testDispatcher) Post(ev dispatch.Event) {
 	switch ev := ev.(type) {
 	case dispatch.QueryReceived:
-		d.mu.Lock()
-		d.open[ev.Query.ID] = ev.Query
-		d.mu.Unlock()
+		if d.rejectOrOpen(ev.Query) {
+			return
+		}
 		if d.answer != nil {
 			if v, ok := d.answer(ev.Query); ok {
 				d.mu.Lock()
@@ -57,6 +59,31 @@
 	}
 }
 
+// rejectOrOpen rejects a query after stop, and returns true, or adds it to the open ones.
+func (d *testDispatcher) rejectOrOpen(q *dispatch.Query) (rejected bool) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.stopped {
+		d.rejected++
+		q.Client.Answer(dispatch.Outcome{Kind: dispatch.Shed})
+		return true
+	}
+	d.open[q.ID] = q
+	return false
+}
+
+// stop rejects the open queries and all later ones, so that the sessions of a failed test end.
+func (d *testDispatcher) stop() {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	d.stopped = true
+	for id, q := range d.open {
+		q.Client.Answer(dispatch.Outcome{Kind: dispatch.Shed})
+		delete(d.open, id)
+		d.rejected++
+	}
+}
+
 // servedRows returns the outcome of a query that was served with so many rows.
 func servedRows(rows int) dispatch.Outcome {
 	r := &lineproto.Result{}
@@ -170,7 +197,12 @@
 			}
 		})
 	}
-	t.Cleanup(s.stop)
+	t.Cleanup(func() {
+		if t.Failed() {
+			d.stop()
+		}
+		s.stop()
+	})
 	return s
 }
 
@@ -283,5 +315,5 @@
 	}
 }
 
-// gatedConn must keep the CloseWrite of its TCP connection: without it sessions would not linger.
-var _ halfCloser = gatedConn{}
+// gatedConn must keep the methods of its TCP connection.
+var _ clientConn = gatedConn{}
--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"errors"
 	"fmt"
-	"net"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -20,14 +19,16 @@
 // Locks are taken in the order Frontend.mu, session.mu; writeMu is never held together with another lock.
 type session struct {
 	frontend     *Frontend
-	conn         net.Conn
+	conn         clientConn
 	key          pgwire.Key
 	disconnected chan struct{} // closed by disconnect
 
-	mu          sync.Mutex
-	state       sessionState
-	queueShrunk sync.Cond              // signalled when the queue of commands gets shorter
-	query       *frontend.PendingQuery // the query whose outcome the worker waits for; nil: none
+	mu           sync.Mutex
+	state        sessionState
+	readerPaused bool                   // the reader waits for room in the queue of commands; see awaitRoom
+	inputRead    chan struct{}          // closed when the input that a cancel applies to was read; nil: no cancel is in progress
+	answersAt    time.Time              // answers wait for inputRead until then
+	query        *frontend.PendingQuery // the query whose outcome the worker waits for; nil: none
 
 	writeMu  sync.Mutex
 	finished bool        // the last message was written
@@ -36,12 +37,10 @@
 	closeOnce sync.Once // see recordClose
 }
 
-func newSession(f *Frontend, conn net.Conn, overCapacity bool) *session {
+func newSession(f *Frontend, conn clientConn, overCapacity bool) *session {
 	now := time.Now()
-	s := &session{frontend: f, conn: conn, disconnected: make(chan struct{}), state: sessionState{overCapacity: overCapacity,
+	return &session{frontend: f, conn: conn, disconnected: make(chan struct{}), state: sessionState{overCapacity: overCapacity,
 		startedAt: now, lastActivity: now, limits: waitLimits{begin: f.options.BeginTimeout, idle: f.options.IdleTimeout}}}
-	s.queueShrunk.L = &s.mu
-	return s
 }
 
 // snapshot calls sessionState.snapshot under the session's lock.
@@ -113,12 +112,15 @@
 			s.failRead(r, err)
 			return false
 		}
-		if !s.enqueue(command{text, time.Now()}) { // the session began to close while the message was read
+		switch s.enqueue(command{text: text, receivedAt: time.Now()}) {
+		case commandQueued:
+			return true
+		case commandRejected: // the session began to close while the message was read
 			s.rejectCommand()
 			s.closeGracefully(r)
-			return false
+		case commandAbandoned:
 		}
-		return true
+		return false
 	case pgwire.Terminate:
 		return false
 	}
@@ -195,7 +197,9 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	alreadyClosing := s.state.phase == closing
-	if !s.state.apply(waitTimedOut, time.Now()) {
+	accepted := s.state.apply(waitTimedOut, time.Now())
+	s.notifyInputRead()
+	if !accepted {
 		return false
 	}
 	if !alreadyClosing {
@@ -209,31 +213,45 @@
 func (s *session) startMessage(from time.Time) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.state.apply(messageStarted, time.Now()) {
+	accepted := s.state.apply(messageStarted, time.Now())
+	s.notifyInputRead()
+	if !accepted {
 		return false
 	}
 	s.setReadDeadline(from.Add(s.frontend.options.BeginTimeout))
 	return true
 }
 
-// enqueue adds a command to the queue and starts a worker if none runs; it returns false if the session is closing. It waits while too much
-// is pipelined. If the session is to close after its pending answers, it waits for that close.
-func (s *session) enqueue(c command) bool {
+// enqueueResult is what became of a command that was read.
+type enqueueResult uint8
+
+const (
+	commandQueued    enqueueResult = iota
+	commandRejected                // the session is closing
+	commandAbandoned               // the client has closed the connection
+)
+
+// enqueue adds a command to the queue and starts a worker if none runs. It waits while too much is pipelined. If the session is to close
+// after its pending answers, it waits for that close.
+func (s *session) enqueue(c command) enqueueResult {
 	s.frontend.recordActivity()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.state.mustWait(c) {
-		s.queueShrunk.Wait()
+		if !s.awaitRoom() {
+			return commandAbandoned
+		}
 	}
 	workerRuns := s.state.phase == working
 	if !s.state.apply(commandReceived, time.Now()) {
-		return false
+		return commandRejected
 	}
 	s.state.push(c)
+	s.trackCancelledInput(c.receivedAt)
 	if !workerRuns {
 		s.frontend.group.Go(func() error { s.answerCommands(); return nil })
 	}
-	return true
+	return commandQueued
 }
 
 // failRead ends the session after a message that could not be read, since nothing after that message can be read either. It sends the
--- a/frontend/postgres/session_close.go
+++ b/frontend/postgres/session_close.go
@@ -3,7 +3,6 @@
 import (
 	"bufio"
 	"io"
-	"net"
 	"time"
 
 	"embershunt/internal/pgwire"
@@ -19,11 +18,6 @@
 	maxLingerBytes       = 256 << 10
 )
 
-// halfCloser is a connection whose sending side can be closed by itself.
-type halfCloser interface{ CloseWrite() error }
-
-var _ halfCloser = (*net.TCPConn)(nil)
-
 // beginClose begins the close of a session without pending answers; ev is evicted or dispatcherEnds. A session with pending answers closes
 // after them for dispatcherEnds, and stays open for evicted. beginClose reports whether the close has begun.
 func (s *session) beginClose(ev event) bool {
@@ -74,7 +68,7 @@
 
 // rejectCommand rejects a command that was read after the close had begun. The write may fail: the session ends anyway.
 func (s *session) rejectCommand() {
-	s.writeError(codeDraining, "the dispatcher closes this session; nothing was run")
+	s.write(encodeError(codeDraining, "the dispatcher closes this session; nothing was run"))
 }
 
 // linger closes the sending side and discards whatever arrives, until the client closes its side or a bound is reached.
@@ -82,8 +76,7 @@
 	s.mu.Lock()
 	s.state.apply(sendingEnded, time.Now())
 	s.mu.Unlock()
-	half, ok := s.conn.(halfCloser)
-	if !ok || half.CloseWrite() != nil {
+	if s.conn.CloseWrite() != nil {
 		return
 	}
 	s.setReadDeadline(time.Now().Add(lingerTimeout))
@@ -106,7 +99,7 @@
 		close(s.disconnected)
 	}
 	s.state.apply(clientDisconnected, time.Now())
-	s.queueShrunk.Signal()
+	s.wakeReader()
 	q := s.query
 	s.mu.Unlock()
 	if q != nil {
--- a/frontend/postgres/session_state.go
+++ b/frontend/postgres/session_state.go
@@ -64,7 +64,7 @@
 	closeWhenAnswered bool      // the session closes as soon as no answer is pending
 	disconnected      bool      // after clientDisconnected
 	lingering         bool      // the last message was written; whatever still arrives is discarded
-	cancelledAt       time.Time // when the client cancelled while nothing was pending; zero: no such cancel
+	cancel            cancelState
 
 	commands             []command // pipelined: received and not yet begun
 	queuedBytes          int       // of their texts
@@ -80,7 +80,9 @@
 // command is a query that was read completely and has no answer yet.
 type command struct {
 	text       string
-	receivedAt time.Time // when its last byte was received; zero: the command was cancelled
+	receivedAt time.Time // when its last byte was received
+	cancel     commandCancel
+	repeats    int // so many further commands, with the same cancel, follow it; not 0 only where the texts were dropped
 }
 
 // Bounds of the commands that are pipelined on one session. At a bound the reader stops reading, and the rest stays in the socket's buffer.
@@ -97,8 +99,10 @@
 			return false
 		}
 		s.receiving = true
+		s.cancel.limitInput(now)
 	case messageEnded:
 		s.receiving = false
+		s.cancel.beginRead()
 	case commandReceived:
 		if s.phase == closing {
 			return false
@@ -112,7 +116,7 @@
 			s.phase = closing
 		}
 	case waitTimedOut:
-		if s.phase != closing && (!s.mayClose(true) || now.Before(s.readDeadline(now))) {
+		if s.phase != closing && (s.cancel.endRead() || !s.mayClose(true) || now.Before(s.readDeadline(now))) {
 			return false
 		}
 		s.phase = closing
@@ -180,6 +184,8 @@
 	switch {
 	case s.phase == closing:
 		return now.Add(drainInputTimeout)
+	case s.cancel.input != inputCurrent:
+		return now.Add(cancelledInputTimeout)
 	case s.phase == working: // the deadlines of its queries apply instead
 		return time.Time{}
 	case s.overCapacity:
@@ -191,14 +197,27 @@
 }
 
 // mustWait reports whether a command must wait before it is accepted: too much is pipelined, or the session is to close after its pending
-// answers.
+// answers. A cancelled command takes no room.
 func (s *sessionState) mustWait(c command) bool {
-	return s.closeWhenAnswered && s.phase == working || len(s.commands) >= maxPipelinedCommands ||
-		len(s.commands) > 0 && s.queuedBytes+len(c.text) > maxPipelinedBytes
+	if s.closeWhenAnswered && s.phase == working {
+		return true
+	}
+	if s.cancel.input != inputCurrent {
+		return false
+	}
+	return len(s.commands) >= maxPipelinedCommands || len(s.commands) > 0 && s.queuedBytes+len(c.text) > maxPipelinedBytes
 }
 
-// push adds an accepted command to the queue.
+// push adds an accepted command to the queue. The text of a command that is cancelled already is dropped, so that a client that sends
+// without end takes no memory.
 func (s *sessionState) push(c command) {
+	if c.cancel = s.cancel.commandReceived(c.receivedAt); c.cancel != notCancelled {
+		c.text = ""
+	}
+	if last := len(s.commands) - 1; last >= 0 && c.cancel == cancelledInQueue && s.commands[last].cancel == cancelledInQueue {
+		s.commands[last].repeats++
+		return
+	}
 	s.commands, s.queuedBytes = append(s.commands, c), s.queuedBytes+len(c.text)
 }
 
@@ -207,30 +226,12 @@
 	if len(s.commands) == 0 {
 		return c, false
 	}
+	s.cancel.current = false
 	c = s.commands[0]
+	if c.repeats > 0 {
+		s.commands[0].repeats--
+		return c, true
+	}
 	s.commands, s.queuedBytes = s.commands[1:], s.queuedBytes-len(c.text)
 	return c, true
 }
-
-// cancelWindow is how long a cancel that found nothing pending applies to the next query of the session. A later query is not the one that
-// the client meant: clients close the session after a cancel.
-const cancelWindow = 500 * time.Millisecond
-
-// cancel cancels the queued commands, which were received before the cancel. If no command is queued and no query is pending, it records
-// the cancel for a query that may still arrive.
-func (s *sessionState) cancel(pending bool, now time.Time) {
-	if !pending && len(s.commands) == 0 {
-		s.cancelledAt = now
-	}
-	for i := range s.commands {
-		s.commands[i].receivedAt = time.Time{}
-	}
-}
-
-// maySubmit reports whether a query may be submitted: its client is connected and did not cancel the query before it arrived. A recorded
-// cancel applies to one query only.
-func (s *sessionState) maySubmit(now time.Time) bool {
-	cancelled := !s.cancelledAt.IsZero() && now.Sub(s.cancelledAt) < cancelWindow
-	s.cancelledAt = time.Time{}
-	return !s.disconnected && !cancelled
-}
--- a/frontend/postgres/session_worker.go
+++ b/frontend/postgres/session_worker.go
@@ -34,7 +34,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if c, ok = s.state.pop(); ok {
-		s.queueShrunk.Signal()
+		s.wakeReader()
 		return c, true
 	}
 	now := time.Now()
@@ -43,26 +43,37 @@
 	if s.state.phase == closing {
 		s.recordClose(closedDispatcherEnds)
 	}
-	s.queueShrunk.Signal()
+	s.wakeReader()
 	if !s.state.receiving {
 		s.setReadDeadline(s.state.readDeadline(now))
 	}
 	return c, false
 }
 
+// notBegun is the message of the answer to a command that was cancelled, or timed out, in the queue.
+const notBegun = "over before its turn; nothing was run"
+
 // answer executes a command and writes its one answer; it returns false if the answer could not be written.
 func (s *session) answer(c command) bool {
+	switch c.cancel {
+	case cancelledInQueue:
+		return s.writeAnswer(encodeError(codeOverload, notBegun))
+	case cancelledOnArrival:
+		s.recordQueryRecognized()
+		return s.writeAnswer(encodeFailure(dispatch.ReasonClientDisconnected))
+	case notCancelled:
+	}
 	if strings.Trim(c.text, " \t\r\n;") == "" {
 		s.recordQueryRecognized()
-		return s.write(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
+		return s.writeAnswer(pgwire.AppendReady(pgwire.AppendEmpty(nil)))
 	}
 	q, err := parseQuery(c.text, &s.frontend.options.Settings)
 	if err != nil {
 		return s.answerProtocolError(codeBadField, err.Error())
 	}
 	remaining := q.clientTimeout - time.Since(c.receivedAt)
-	if c.receivedAt.IsZero() || remaining <= 0 { // cancelled, or timed out in the queue: nothing was sent
-		return s.writeError(codeOverload, "over before its turn; nothing was run")
+	if remaining <= 0 { // timed out in the queue: nothing was sent
+		return s.writeAnswer(encodeError(codeOverload, notBegun))
 	}
 	if !s.frontend.registerTrace(q.trace) {
 		return s.answerProtocolError(codeIDInUse,
@@ -76,7 +87,7 @@
 	s.mu.Lock()
 	s.query = nil
 	s.mu.Unlock()
-	return s.write(encodeOutcome(outcome))
+	return s.writeAnswer(encodeOutcome(outcome))
 }
 
 // execute submits a query and waits for its outcome. An error means that the query's fields cannot be used.
@@ -101,7 +112,7 @@
 	s.recordQueryRecognized()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if !s.state.maySubmit(time.Now()) {
+	if !s.state.maySubmit() {
 		return nil, nil
 	}
 	q, err := s.frontend.intake.Submit(c)
@@ -134,7 +145,7 @@
 	s.state.protocolErrorsInARow++
 	inARow := s.state.protocolErrorsInARow
 	s.mu.Unlock()
-	if !s.writeError(code, message) {
+	if !s.writeAnswer(encodeError(code, message)) {
 		return false
 	}
 	t := time.NewTimer(min(protocolErrorPause<<min(inARow-1, maxPauseDoublings), maxProtocolErrorPause))
@@ -145,19 +156,3 @@
 	}
 	return true
 }
-
-// writeError answers a command with an error after which the session continues; it returns false if the answer could not be written.
-func (s *session) writeError(code, message string) bool {
-	return s.write(appendError(nil, code, message))
-}
-
-// cancel cancels the session's pending query and queued commands. The session continues.
-func (s *session) cancel() {
-	s.mu.Lock()
-	q := s.query
-	s.state.cancel(q != nil, time.Now())
-	s.mu.Unlock()
-	if q != nil {
-		q.Disconnect()
-	}
-}
