Outdated node lists give no node work again that drained, left or moved

What callers saw: a node drained, and the dispatcher was told by five good answers.

Cause: what gives a node work again was a number of answers, and a name service that is wrong gives any number of them meanwhile: five in a row put a lower number in force, ten bring back a node that has drained, six one that a good answer has left out or moved. The bounds are there for a wrong high number, which has to be given up; they say nothing of the rows.

Change (membership/view.go): a return needs ten answers in a row and 5 s of them; the resolver hands in the time. The same holds for any row that gives work under a number below that of the newest list that told of the node. Lower numbers are accepted as before, so that a wrong high one hides no drain, absence or new node; for 5 s their lists drain what they leave out but remove nothing, so that a node is back at the second good answer. Two neighbours of the same class: a drain told while one answer had left the node out was dropped, and the last row's start counted as the newest.

TestOutdatedListsGiveNoWorkAgain, TestOutdatedListsMoveNoNodeBack and TestNodesSurviveOutdatedLists failed on the decisions before (nine of ten orders of the first one). The tests of returns in view_test.go stay, with the time that a return takes: one response before that the node still drains. One of them, "a node lost to a wrong number returns", asked for the return at the sixth answer, that is after 1.2 s of answers which may all be outdated, so it contradicted the rule; it asks for the same return now, and that it doesn't come before 5 s.

--- a/membership/view.go
+++ b/membership/view.go
@@ -8,12 +8,15 @@
 //   - A change that gives a node work (a new row, or another address) needs a second response, to another
 //     query, with the same row.
 //   - The return of a node that has drained or left, and has not started since, needs returnResponses in a
-//     row: such returns are rare, and every outdated list looks like one.
+//     row over staleListTime: such returns are rare, and every outdated list looks like one. So does any
+//     other work for a node under a number below that of the newest list that told of the node.
 //   - A lower version number is accepted after revertResponses in a row with a number below the one in force.
+//     Until staleListTime has passed, the nodes that its lists leave out drain, but are not removed.
 package membership
 
 import (
 	"slices"
+	"time"
 
 	"embershunt/nodelist"
 	"embershunt/policy"
@@ -26,12 +29,17 @@
 	revertResponses = 5  // a lower version number replaces the one in force
 )
 
+// staleListTime is longer than a name service may go on giving outdated lists without a current one in between:
+// 3 s on the platform.
+const staleListTime = 5 * time.Second
+
 // maxRemoved is the maximum number of removed nodes that a View remembers.
 const maxRemoved = 4096
 
 // Response is a valid response of the name service.
 type Response struct {
-	Query uint64 // serial of the query; a second response to the same query confirms nothing
+	Query uint64        // serial of the query; a second response to the same query confirms nothing
+	At    time.Duration // when it arrived, on a clock that never goes back
 	nodelist.VersionedList
 }
 
@@ -46,17 +54,25 @@
 // View holds the list in force and the changes that wait for confirmation. It is not safe for concurrent
 // use.
 type View struct {
-	number  int64           // version number of the list in force
-	nodes   []nodelist.Node // in force; new nodes are appended
-	indexes map[string]int  // indexes into nodes, by ID; set during Observe only
+	number  int64              // version number of the list in force
+	highest int64              // highest version number that was in force
+	nodes   []nodelist.Node    // in force; new nodes are appended
+	indexes map[string]int     // indexes into nodes, by ID; set during Observe only
+	known   map[string]history // of the nodes in force, by ID
 
 	newestQuery  uint64          // newest query whose response had the number in force or a higher one
 	lastRows     []nodelist.Node // rows of the last such response; nil: evaluate the next one in any case
 	lower        lowerNumbers
-	unconfirmed  map[string]confirmation  // rows that wait for confirmation, by node ID
-	missing      map[string]absence       // nodes that drain until it is confirmed that they left or moved
-	removed      map[string]nodelist.Node // nodes that have left the list, as they were; at most maxRemoved
-	removalOrder []string                 // IDs in removed, oldest first; IDs of nodes that returned stay
+	unconfirmed  map[string]confirmation // rows that wait for confirmation, by node ID
+	missing      map[string]absence      // nodes that drain until it is confirmed that they left or moved
+	removed      map[string]time.Time    // newest known starts of nodes that have left the list; at most maxRemoved
+	removalOrder []string                // IDs in removed, oldest first; IDs of nodes that returned stay
+}
+
+// history is what lists have told of a node in force.
+type history struct {
+	number  int64     // highest version number of a list that told of the node, or left it out
+	started time.Time // newest start in a row that was applied
 }
 
 // lowerNumbers counts the responses in a row with a version number below the one in force.
@@ -70,6 +86,7 @@
 type confirmation struct {
 	node      nodelist.Node // the row
 	query     uint64        // query of the last counted response
+	since     time.Duration // arrival of the first counted response
 	responses int
 	required  int
 }
@@ -77,14 +94,19 @@
 // absence records the first response that left a node out, or listed it at another address.
 type absence struct {
 	query      uint64
-	wasHealthy bool // state of the node before that response
+	at         time.Duration // arrival of that response
+	wasHealthy bool          // state of the node before that response
 }
 
 // New returns a view with an initial list in force.
 func New(initial nodelist.VersionedList) *View {
-	return &View{number: initial.Number, nodes: slices.Clone(initial.Nodes),
+	v := &View{number: initial.Number, highest: initial.Number, nodes: slices.Clone(initial.Nodes),
 		unconfirmed: map[string]confirmation{}, missing: map[string]absence{},
-		removed: map[string]nodelist.Node{}}
+		removed: map[string]time.Time{}, known: make(map[string]history, len(initial.Nodes))}
+	for _, n := range initial.Nodes {
+		v.known[n.ID] = history{number: initial.Number, started: n.Started}
+	}
+	return v
 }
 
 // Number returns the version number of the list in force.
@@ -112,7 +134,7 @@
 	}
 	if r.Number >= v.number {
 		v.lower.count, v.newestQuery = 0, max(v.newestQuery, r.Query)
-		v.number, v.lastRows = r.Number, r.Nodes
+		v.number, v.highest, v.lastRows = r.Number, max(v.highest, r.Number), r.Nodes
 		v.apply(r)
 	}
 	v.indexes = nil
@@ -136,13 +158,20 @@
 // in force wrong.
 func (v *View) applyDrains(r Response) {
 	for _, row := range r.Nodes {
-		if row.State != policy.Healthy {
+		if row.State != policy.Healthy && !v.isOutdatedDrain(r.Number, row) {
 			v.drain(row.ID)
 		}
 	}
 	v.applySkippedDrains(r)
 }
 
+// isOutdatedDrain reports whether a row drains an earlier start of a node, in a list with a lower number than
+// the newest that told of the node.
+func (v *View) isOutdatedDrain(number int64, row nodelist.Node) bool {
+	known := v.known[row.ID]
+	return row.State != policy.Healthy && number < known.number && row.Started.Before(known.started)
+}
+
 // applySkippedDrains drains the nodes whose rows are unusable but mark them as draining.
 func (v *View) applySkippedDrains(r Response) {
 	for _, row := range r.Skipped {
@@ -192,10 +221,10 @@
 	v.applySkippedDrains(r)
 	for _, row := range r.Nodes {
 		listed[row.ID] = true
-		v.applyRow(r.Query, row)
+		v.applyRow(r, row)
 	}
 	if !listed[""] { // an unusable row without an ID may belong to any node
-		v.applyMissing(r.Query, listed)
+		v.applyMissing(r, listed)
 	}
 	for id := range v.unconfirmed {
 		if !listed[id] {
@@ -210,41 +239,65 @@
 // would receive work that it does not receive now (a healthy row of a node that is not healthy, or that has
 // another address). Any other row is applied at once. A healthy node whose row has another address drains
 // until the row is confirmed.
-func (v *View) applyRow(query uint64, row nodelist.Node) {
+func (v *View) applyRow(r Response, row nodelist.Node) {
 	i := v.index(row.ID)
 	if i < 0 {
-		if v.confirm(query, row) {
+		if v.confirm(r, row) {
 			v.indexes[row.ID] = len(v.nodes)
 			v.nodes = append(v.nodes, row)
+			v.known[row.ID] = history{number: r.Number, started: row.Started}
 		}
 		return
 	}
-	current := v.nodes[i]
+	if v.isOutdatedDrain(r.Number, row) {
+		return
+	}
+	current, known := v.nodes[i], v.known[row.ID]
 	givesWork := row.State == policy.Healthy &&
 		(current.State != policy.Healthy || row.PlatformAddress != current.PlatformAddress)
 	switch {
-	case !givesWork || v.confirm(query, row):
-		delete(v.unconfirmed, row.ID)
-		delete(v.missing, row.ID)
-		v.nodes[i] = row
+	case !givesWork:
+		v.setRow(i, row, history{number: max(known.number, r.Number), started: later(known.started, row.Started)})
+	case v.confirm(r, row):
+		v.setRow(i, row, history{number: r.Number, started: row.Started})
 	case current.State == policy.Healthy: // its address has changed
-		v.missing[row.ID] = absence{query, true}
+		v.missing[row.ID] = absence{r.Query, r.At, true}
+		v.recordAbsence(row.ID, r.Number)
 		v.nodes[i].State = policy.Draining
 		v.lastRows = nil
 	}
 }
 
+// setRow replaces the row of a node in force, and its history.
+func (v *View) setRow(i int, row nodelist.Node, h history) {
+	delete(v.unconfirmed, row.ID)
+	delete(v.missing, row.ID)
+	v.nodes[i], v.known[row.ID] = row, h
+}
+
+// later returns the later of two times.
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // confirm counts a response with a row, and reports whether the row is confirmed: whether enough responses
-// in a row, to different queries, had exactly this row.
-func (v *View) confirm(query uint64, row nodelist.Node) bool {
+// in a row, to different queries and over enough time, had exactly this row.
+func (v *View) confirm(r Response, row nodelist.Node) bool {
 	c, seen := v.unconfirmed[row.ID]
 	if !seen || c.node != row {
-		c = confirmation{node: row, required: v.requiredResponses(row)}
-	} else if c.query == query {
+		c = confirmation{node: row, since: r.At}
+	} else if c.query == r.Query {
 		return false
 	}
-	c.query = query
-	if c.responses++; c.responses < c.required {
+	var overTime time.Duration
+	c.query, c.required = r.Query, joinResponses
+	if v.isReturn(r.Number, row) {
+		c.required, overTime = returnResponses, staleListTime
+	}
+	if c.responses++; c.responses < c.required || r.At-c.since < overTime {
 		v.unconfirmed[row.ID] = c
 		return false
 	}
@@ -253,18 +306,18 @@
 	return true
 }
 
-// requiredResponses returns the number of responses needed to give a node work. It is higher for a node that
-// has drained or left and has not started since. A node that drains only because a response left it out or
-// listed it at another address does not count as drained.
-func (v *View) requiredResponses(row nodelist.Node) int {
-	old, withdrawn := v.removed[row.ID]
-	if i := v.index(row.ID); i >= 0 && v.nodes[i].State != policy.Healthy {
-		old, withdrawn = v.nodes[i], !v.missing[row.ID].wasHealthy
+// isReturn reports whether a row, in a list with a number, would give work again to a node that has drained or
+// left and has not started since, or give it work on the word of a list older than the newest that told of
+// it. A node that drains only because a response left it out or listed it at another address does not count
+// as drained.
+func (v *View) isReturn(number int64, row nodelist.Node) bool {
+	started, withdrawn := v.removed[row.ID]
+	if i := v.index(row.ID); i >= 0 {
+		known := v.known[row.ID]
+		drained := v.nodes[i].State != policy.Healthy && !v.missing[row.ID].wasHealthy
+		started, withdrawn = known.started, drained || number < known.number
 	}
-	if withdrawn && !row.Started.After(old.Started) {
-		return returnResponses
-	}
-	return joinResponses
+	return withdrawn && !row.Started.After(started)
 }
 
 // remove records that a node has left the list; the caller removes it from nodes. Beyond maxRemoved the
@@ -272,25 +325,32 @@
 func (v *View) remove(n nodelist.Node) {
 	delete(v.missing, n.ID)
 	delete(v.unconfirmed, n.ID)
-	v.removed[n.ID] = n
+	v.removed[n.ID] = v.known[n.ID].started
+	delete(v.known, n.ID)
 	if v.removalOrder = append(v.removalOrder, n.ID); len(v.removalOrder) > maxRemoved {
 		delete(v.removed, v.removalOrder[0])
 		v.removalOrder = v.removalOrder[1:]
 	}
 }
 
-// applyMissing drains the nodes without a row, and removes those that the responses to two queries left out.
-func (v *View) applyMissing(query uint64, listed map[string]bool) {
+// applyMissing drains the nodes without a row, and removes those that the responses to two queries left out,
+// over staleListTime if the list may be outdated.
+func (v *View) applyMissing(r Response, listed map[string]bool) {
+	var overTime time.Duration
+	if r.Number < v.highest {
+		overTime = staleListTime
+	}
 	kept := v.nodes[:0]
 	for _, n := range v.nodes {
 		if !listed[n.ID] {
 			first, again := v.missing[n.ID]
-			if again && first.query != query {
+			if again && first.query != r.Query && r.At-first.at >= overTime {
 				v.remove(n)
 				continue
 			}
 			if !again {
-				v.missing[n.ID] = absence{query, n.State == policy.Healthy}
+				v.missing[n.ID] = absence{r.Query, r.At, n.State == policy.Healthy}
+				v.recordAbsence(n.ID, r.Number)
 			}
 			n.State = policy.Draining
 		}
@@ -299,6 +359,13 @@
 	v.nodes = kept
 }
 
+// recordAbsence records that a list with a number left a node out, or listed it at another address.
+func (v *View) recordAbsence(id string, number int64) {
+	h := v.known[id]
+	h.number = max(h.number, number)
+	v.known[id] = h
+}
+
 // dropReplaced removes the nodes whose address now belongs to another healthy node. Of several healthy nodes
 // with one address, the last in nodes stays.
 func (v *View) dropReplaced() {
@@ -327,9 +394,14 @@
 	return -1
 }
 
-// drain marks a node as draining, and discards the confirmation of a row that would give it work.
+// drain marks a node as draining, also one that drains because a response left it out, and discards the
+// confirmation of a row that would give it work.
 func (v *View) drain(id string) {
 	delete(v.unconfirmed, id)
+	if a, ok := v.missing[id]; ok {
+		a.wasHealthy = false
+		v.missing[id] = a
+	}
 	if i := v.index(id); i >= 0 && v.nodes[i].State == policy.Healthy {
 		v.nodes[i].State = policy.Draining
 		v.lastRows = nil
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -50,14 +50,28 @@
 	return strings.Join(out, " ")
 }
 
-// repeatUnconfirmed repeats a step for one response less than it takes to return a node.
-func repeatUnconfirmed(step string) (out []string) {
-	for range returnResponses - 1 {
+// interval is the time between two responses of a test.
+const interval = 200 * time.Millisecond
+
+// response returns the response to a query, which arrives interval after that to the query before.
+func response(query uint64, list nodelist.VersionedList) Response {
+	return Response{Query: query, At: time.Duration(query) * interval, VersionedList: list}
+}
+
+// responsesToReturn is the number of responses that it takes to return a node.
+const responsesToReturn = max(returnResponses, int(staleListTime/interval)+1)
+
+// repeat repeats a step.
+func repeat(times int, step string) (out []string) {
+	for range times {
 		out = append(out, step)
 	}
 	return out
 }
 
+// repeatUnconfirmed repeats a step for one response less than it takes to return a node.
+func repeatUnconfirmed(step string) []string { return repeat(responsesToReturn-1, step) }
+
 // Each step is "number: rows -> list in force after this response". With "=" before the number, the response is
 // to the same query as that of the step before.
 func TestView(t *testing.T) {
@@ -75,7 +89,7 @@
 		"a drain under a lower number":          {[]string{"9: a b -> a b", "2: a! b -> a! b"}},
 		"few lower numbers add nothing":         {[]string{"9: a b -> a b", "2: a b c -> a b", "3: a b c -> a b", "9: a b -> a b"}},
 		"lower numbers in a row are accepted":   {[]string{"9: a b -> a b", "2: a b c -> a b", "2: a b c -> a b", "3: a b c -> a b", "3: a b c -> a b", "3: a b c -> a b", "3: a b c -> a b c"}},
-		"a node lost to a wrong number returns": {[]string{"9: a -> a b!", "2: a b -> a b!", "2: a b -> a b!", "2: a b -> a b!", "2: a b -> a b!", "2: a b -> a b!", "2: a b -> a b"}},
+		"a node lost to a wrong number returns": {slices.Concat([]string{"9: a -> a b!"}, repeat(revertResponses-1, "2: a b -> a b!"), repeatUnconfirmed("2: a b -> a b!"), []string{"2: a b -> a b"})},
 		"a restart after a drain is a new node": {[]string{"2: a! b -> a! b", "3: a+ b -> a! b", "3: a+ b -> a b"}},
 		"an unusable row":                       {[]string{"2: a! ?b c -> a! b", "2: a! ?b c -> a! b c", "2: a! ?b! c -> a! b! c"}},
 		"a row without an ID hides a removal":   {[]string{"2: ? a -> a b", "2: ? a -> a b"}},
@@ -99,7 +113,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				v.Observe(Response{query, parseList(number, rows)})
+				v.Observe(response(query, parseList(number, rows)))
 				if got := formatNodes(v); got != strings.TrimSpace(want) {
 					t.Fatalf("after step %d (%s): %q, want %q", i+1, step, got, strings.TrimSpace(want))
 				}
@@ -108,17 +122,112 @@
 	}
 }
 
+// Guards against work for a node that was drained, removed or moved, on the word of outdated lists: they come in a row for less than
+// staleListTime, after one or more current lists, and none of the nodes that they list as healthy has started since.
+func TestOutdatedListsGiveNoWorkAgain(t *testing.T) {
+	stale := repeat(responsesToReturn-revertResponses, "6: a b")
+	for name, responses := range map[string][]string{
+		"a drain told once":              slices.Concat([]string{"7: a! b"}, stale),
+		"a drain told often":             slices.Concat(repeat(revertResponses, "7: a! b"), stale),
+		"a removal told once":            slices.Concat([]string{"7: b"}, stale),
+		"a removal told twice":           slices.Concat([]string{"7: b", "7: b"}, stale),
+		"with gaps":                      slices.Concat([]string{"7: a! b"}, stale, []string{"7: a! b"}, stale),
+		"under the number of the drain":  slices.Concat([]string{"7: a! b"}, repeat(responsesToReturn-1, "7: a b")),
+		"under a higher number":          slices.Concat([]string{"7: a! b"}, repeat(responsesToReturn-1, "40: a b")),
+		"a drain after an absence":       {"7: b", "6: a! b", "7: a b", "7: a b", "7: a b"},
+		"an older start before a newer":  {"7: a+! b", "7: a! b", "7: a+ b", "7: a+ b", "7: a+ b"},
+		"an older start, after an early": {"2: a+ b", "2: a+ b", "3: a+! b", "3: a b", "3: a b", "3: a+ b", "3: a+ b", "3: a+ b"},
+	} {
+		t.Run(name, func(t *testing.T) {
+			v := New(parseList(1, "a b"))
+			told := false // the drain or the removal
+			for i, text := range responses {
+				head, rows, _ := strings.Cut(text, ":")
+				number, err := strconv.ParseInt(head, 10, 64)
+				if err != nil {
+					t.Fatal(err)
+				}
+				v.Observe(response(uint64(i+1), parseList(number, rows)))
+				hasWork := slices.Contains(strings.Fields(formatNodes(v)), "a")
+				if told = told || !hasWork; told && hasWork {
+					t.Fatalf("a has work again after response %d (%s)", i+1, text)
+				}
+			}
+			if !told {
+				t.Error("a was never drained")
+			}
+		})
+	}
+}
+
+// Guards against requests to the address that a node has left, on the word of outdated lists.
+func TestOutdatedListsMoveNoNodeBack(t *testing.T) {
+	for _, told := range []int{1, joinResponses} {
+		t.Run(fmt.Sprint("told ", told), func(t *testing.T) { testOutdatedAddress(t, told) })
+	}
+}
+
+// testOutdatedAddress moves a node by a number of current lists, before outdated ones.
+func testOutdatedAddress(t *testing.T, told int) {
+	const left, current = "127.0.0.1:a", "127.0.0.1:new"
+	v := New(parseList(1, "a b"))
+	query := uint64(0)
+	observe := func(number int64, address string) {
+		list := parseList(number, "a b")
+		list.Nodes[0].PlatformAddress = address
+		query++
+		v.Observe(response(query, list))
+	}
+	for range told {
+		observe(7, current)
+	}
+	for range responsesToReturn - revertResponses {
+		observe(6, left)
+		if n := v.Nodes()[0]; n.State == policy.Healthy && n.PlatformAddress == left {
+			t.Fatalf("a has work at the address that it has left, after response %d", query)
+		}
+	}
+	for range joinResponses {
+		observe(7, current)
+	}
+	if n := v.Nodes()[0]; n.State != policy.Healthy || n.PlatformAddress != current {
+		t.Errorf("a is in state %d at %s after current lists", n.State, n.PlatformAddress)
+	}
+}
+
+// Outdated lists cost a node that they do not have its work for a short time only: it is back at the second current list. The drain of
+// an earlier start does not apply to it.
+func TestNodesSurviveOutdatedLists(t *testing.T) {
+	v := New(parseList(1, "a b"))
+	query := uint64(0)
+	observe := func(times int, number int64, rows string) {
+		for range times {
+			query++
+			v.Observe(response(query, parseList(number, rows)))
+		}
+	}
+	observe(2, 7, "a+ b c")
+	observe(responsesToReturn-1, 6, "a! b")
+	if got := formatNodes(v); got != "a b c!" {
+		t.Errorf("in force after outdated lists: %s", got)
+	}
+	observe(2, 7, "a+ b c")
+	if got := formatNodes(v); got != "a b c" {
+		t.Errorf("in force after current lists: %s", got)
+	}
+}
+
 // Responses that arrive after the response to a newer query do not show that the number in force is wrong.
 func TestLateResponsesDoNotRevertANumber(t *testing.T) {
 	v := New(parseList(1, "a b"))
-	v.Observe(Response{100, parseList(9, "a b")})
+	v.Observe(response(100, parseList(9, "a b")))
 	for q := range uint64(2 * revertResponses) {
-		if u := v.Observe(Response{10 + q, parseList(5, "a b c")}); u.Reverted || u.Unconfirmed {
+		if u := v.Observe(response(10+q, parseList(5, "a b c"))); u.Reverted || u.Unconfirmed {
 			t.Fatalf("%+v after %d late responses", u, q+1)
 		}
 	}
 	for q := range uint64(revertResponses) {
-		if u := v.Observe(Response{101 + q, parseList(5, "a b c")}); u.Reverted != (q+1 == revertResponses) {
+		if u := v.Observe(response(101+q, parseList(5, "a b c"))); u.Reverted != (q+1 == revertResponses) {
 			t.Fatalf("%+v after %d responses", u, q+1)
 		}
 	}
@@ -130,7 +239,7 @@
 	next := parseList(2, "b c")
 	next.Nodes[1].PlatformAddress = "127.0.0.1:a"
 	for q := range uint64(2) {
-		v.Observe(Response{q, next})
+		v.Observe(response(q, next))
 		if err := nodelist.Check(v.Nodes()); err != nil {
 			t.Fatal(err)
 		}
@@ -140,11 +249,11 @@
 	}
 	moved := parseList(3, "b c")
 	moved.Nodes[0].PlatformAddress = "127.0.0.1:elsewhere"
-	v.Observe(Response{7, moved})
+	v.Observe(response(7, moved))
 	if formatNodes(v) != "b! c!" { // c drains as well: in this list it is back at its own address
 		t.Errorf("in force: %s", formatNodes(v))
 	}
-	v.Observe(Response{8, moved})
+	v.Observe(response(8, moved))
 	if formatNodes(v) != "b c" || v.Nodes()[0].PlatformAddress != "127.0.0.1:elsewhere" {
 		t.Errorf("in force: %s at %s", formatNodes(v), v.Nodes()[0].PlatformAddress)
 	}
@@ -166,7 +275,7 @@
 		query := uint64(0)
 		observe := func(l nodelist.VersionedList) {
 			query++
-			v.Observe(Response{query, l})
+			v.Observe(response(query, l))
 			if err := nodelist.Check(v.Nodes()); err != nil {
 				t.Fatal(err)
 			}
@@ -184,7 +293,7 @@
 				t.Fatalf("%s drains in the list; in force: %s", n.ID, formatNodes(v))
 			}
 		}
-		for range revertResponses + returnResponses {
+		for range revertResponses + responsesToReturn {
 			observe(correct)
 		}
 		if v.Number() != correct.Number {
@@ -219,12 +328,12 @@
 	query := uint64(0)
 	for range 3 {
 		query++
-		v.Observe(Response{query, l})
+		v.Observe(response(query, l))
 	}
 	b.ReportAllocs()
 	for b.Loop() {
 		query++
-		v.Observe(Response{query, l})
+		v.Observe(response(query, l))
 	}
 }
 
@@ -236,6 +345,6 @@
 	for b.Loop() {
 		query++
 		l.Number++
-		v.Observe(Response{query, l})
+		v.Observe(response(query, l))
 	}
 }
