--- a/frontend/postgres/cancel_test.go
+++ b/frontend/postgres/cancel_test.go
@@ -61,15 +61,7 @@
 			c := s.session()
 			send(c, append(queryWithFields(1, "SELECT 1"), append(queryWithFields(2, "SELECT 1"), queryWithFields(3, "SELECT 1")...)...))
 			s.waitForOpen(1)
-			for pipelined := 0; pipelined < 2; { // until both were read
-				s.frontend.mu.Lock()
-				for _, o := range s.frontend.sessions {
-					o.mu.Lock()
-					pipelined = len(o.state.commands)
-					o.mu.Unlock()
-				}
-				s.frontend.mu.Unlock()
-			}
+			s.awaitSession(func(state *sessionState) bool { return len(state.commands) == 2 }) // both were read
 			disconnect(s, c)
 			if id := <-s.dispatcher.disconnected; id[14:] != "01" {
 				t.Errorf("%s disconnected", id)
--- a/frontend/postgres/server_test.go
+++ b/frontend/postgres/server_test.go
@@ -299,6 +299,30 @@
 	s.t.Fatalf("the dispatcher does not have %d open queries", n)
 }
 
+// awaitSession waits until a condition holds for the state of a session.
+func (s *testServer) awaitSession(condition func(*sessionState) bool) {
+	s.t.Helper()
+	for range 5000 {
+		if s.anySession(condition) {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatal("no session is in the expected state")
+}
+
+// anySession reports whether a condition holds for the state of a session.
+func (s *testServer) anySession(condition func(*sessionState) bool) (found bool) {
+	s.frontend.mu.Lock()
+	defer s.frontend.mu.Unlock()
+	for _, o := range s.frontend.sessions {
+		o.mu.Lock()
+		found = found || condition(&o.state)
+		o.mu.Unlock()
+	}
+	return found
+}
+
 // cancelRequest returns the CancelRequest for the session with key k.
 func cancelRequest(k pgwire.Key) []byte {
 	b := []byte{0, 0, 0, 16, 4, 210, 22, 46}
--- a/frontend/postgres/session_cancel_test.go
+++ b/frontend/postgres/session_cancel_test.go
@@ -23,15 +23,7 @@
 	}
 	send(c, messages)
 	s.waitForOpen(1)
-	for full := false; !full; {
-		s.frontend.mu.Lock()
-		for _, o := range s.frontend.sessions {
-			o.mu.Lock()
-			full = o.state.mustWait(command{text: statement})
-			o.mu.Unlock()
-		}
-		s.frontend.mu.Unlock()
-	}
+	s.awaitSession(func(state *sessionState) bool { return state.mustWait(command{text: statement}) })
 }
 
 // expectDisconnected waits until the client of the query with an id is reported as disconnected.
@@ -108,15 +100,7 @@
 	second := queryWithFields(2, "SELECT 1")
 	send(c, append(queryWithFields(1, "SELECT 1"), second[:len(second)/2]...))
 	s.waitForOpen(1)
-	for received := false; !received; {
-		s.frontend.mu.Lock()
-		for _, o := range s.frontend.sessions {
-			o.mu.Lock()
-			received = o.state.receiving && o.state.phase == working
-			o.mu.Unlock()
-		}
-		s.frontend.mu.Unlock()
-	}
+	s.awaitSession(func(state *sessionState) bool { return state.receiving && state.phase == working })
 	s.frontend.cancel(c.key)
 	s.expectDisconnected("0000000000000001")
 	if got := c.until('Z'); got != "E(57014)Z" {
--- a/frontend/postgres/session_close_test.go
+++ b/frontend/postgres/session_close_test.go
@@ -23,14 +23,10 @@
 			c := s.session()
 			send(c, queryWithFields(1, "SELECT 1"))
 			c.until('Z')
-			for isIdle := false; !isIdle; { // the client may read the answer before the worker has ended
-				s.frontend.mu.Lock()
-				for _, o := range s.frontend.sessions {
-					phase, _, _ := o.snapshot()
-					isIdle = phase == idle
-				}
-				s.frontend.mu.Unlock()
-			}
+			s.awaitSession(func(state *sessionState) bool { // the client may read the answer before the worker has ended
+				phase, _, _ := state.snapshot()
+				return phase == idle
+			})
 			open := s.gate.close()
 			send(c, queryWithFields(2, "SELECT 1"))
 			<-s.gate.held
@@ -99,13 +95,7 @@
 		group.Go(func() { // answers when another command is queued, or after 100 ms
 			for i, queued := 0, false; i < 100 && !queued; i++ {
 				time.Sleep(time.Millisecond)
-				s.frontend.mu.Lock()
-				for _, o := range s.frontend.sessions {
-					o.mu.Lock()
-					queued = len(o.state.commands) > 0
-					o.mu.Unlock()
-				}
-				s.frontend.mu.Unlock()
+				queued = s.anySession(func(state *sessionState) bool { return len(state.commands) > 0 })
 			}
 			q.Client.Answer(servedRows(1))
 		})
