--- a/membership/view.go
+++ b/membership/view.go
@@ -16,7 +16,6 @@
 
 import (
 	"slices"
-	"time"
 
 	"embershunt/nodelist"
 	"embershunt/policy"
@@ -31,7 +30,7 @@
 
 // staleListTime is longer than a name service may go on giving outdated lists without a current one in between:
 // 3 s on the platform.
-const staleListTime = 5 * time.Second
+const staleListTime policy.Micros = 5_000_000
 
 // maxRemoved is the maximum number of removed nodes that a View remembers.
 const maxRemoved = 4096
@@ -39,7 +38,7 @@
 // Response is a valid response of the name service.
 type Response struct {
 	Query uint64        // serial of the query; a second response to the same query confirms nothing
-	At    time.Duration // when it arrived, on a clock that never goes back
+	At    policy.Micros // when it arrived, on a clock that never goes back
 	nodelist.VersionedList
 }
 
@@ -65,14 +64,21 @@
 	lower        lowerNumbers
 	unconfirmed  map[string]confirmation // rows that wait for confirmation, by node ID
 	missing      map[string]absence      // nodes that drain until it is confirmed that they left or moved
-	removed      map[string]time.Time    // newest known starts of nodes that have left the list; at most maxRemoved
+	removed      map[string]unixMicros   // newest known starts of nodes that have left the list; at most maxRemoved
 	removalOrder []string                // IDs in removed, oldest first; IDs of nodes that returned stay
 }
 
+// unixMicros is the start of a node as its row has it, in microseconds since 1970. Starts are only compared with
+// each other.
+type unixMicros int64
+
+// startOf returns the start of a row. A start that is unknown is earlier than any other.
+func startOf(row nodelist.Node) unixMicros { return unixMicros(row.Started.UnixMicro()) }
+
 // history is what lists have told of a node in force.
 type history struct {
-	number  int64     // highest version number of a list that told of the node, or left it out
-	started time.Time // newest start in a row that was applied
+	number  int64      // highest version number of a list that told of the node, or left it out
+	started unixMicros // newest start in a row that was applied
 }
 
 // lowerNumbers counts the responses in a row with a version number below the one in force.
@@ -86,7 +92,7 @@
 type confirmation struct {
 	node      nodelist.Node // the row
 	query     uint64        // query of the last counted response
-	since     time.Duration // arrival of the first counted response
+	since     policy.Micros // arrival of the first counted response
 	responses int
 	required  int
 }
@@ -94,7 +100,7 @@
 // absence records the first response that left a node out, or listed it at another address.
 type absence struct {
 	query      uint64
-	at         time.Duration // arrival of that response
+	at         policy.Micros // arrival of that response
 	wasHealthy bool          // state of the node before that response
 }
 
@@ -102,9 +108,9 @@
 func New(initial nodelist.VersionedList) *View {
 	v := &View{number: initial.Number, highest: initial.Number, nodes: slices.Clone(initial.Nodes),
 		unconfirmed: map[string]confirmation{}, missing: map[string]absence{},
-		removed: map[string]time.Time{}, known: make(map[string]history, len(initial.Nodes))}
+		removed: map[string]unixMicros{}, known: make(map[string]history, len(initial.Nodes))}
 	for _, n := range initial.Nodes {
-		v.known[n.ID] = history{number: initial.Number, started: n.Started}
+		v.known[n.ID] = history{number: initial.Number, started: startOf(n)}
 	}
 	return v
 }
@@ -169,7 +175,7 @@
 // the newest that told of the node.
 func (v *View) isOutdatedDrain(number int64, row nodelist.Node) bool {
 	known := v.known[row.ID]
-	return row.State != policy.Healthy && number < known.number && row.Started.Before(known.started)
+	return row.State != policy.Healthy && number < known.number && startOf(row) < known.started
 }
 
 // applySkippedDrains drains the nodes whose rows are unusable but mark them as draining.
@@ -245,7 +251,7 @@
 		if v.confirm(r, row) {
 			v.indexes[row.ID] = len(v.nodes)
 			v.nodes = append(v.nodes, row)
-			v.known[row.ID] = history{number: r.Number, started: row.Started}
+			v.known[row.ID] = history{number: r.Number, started: startOf(row)}
 		}
 		return
 	}
@@ -257,9 +263,9 @@
 		(current.State != policy.Healthy || row.PlatformAddress != current.PlatformAddress)
 	switch {
 	case !givesWork:
-		v.setRow(i, row, history{number: max(known.number, r.Number), started: later(known.started, row.Started)})
+		v.setRow(i, row, history{number: max(known.number, r.Number), started: max(known.started, startOf(row))})
 	case v.confirm(r, row):
-		v.setRow(i, row, history{number: r.Number, started: row.Started})
+		v.setRow(i, row, history{number: r.Number, started: startOf(row)})
 	case current.State == policy.Healthy: // its address has changed
 		v.missing[row.ID] = absence{r.Query, r.At, true}
 		v.recordAbsence(row.ID, r.Number)
@@ -275,14 +281,6 @@
 	v.nodes[i], v.known[row.ID] = row, h
 }
 
-// later returns the later of two times.
-func later(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
-
 // confirm counts a response with a row, and reports whether the row is confirmed: whether enough responses
 // in a row, to different queries and over enough time, had exactly this row.
 func (v *View) confirm(r Response, row nodelist.Node) bool {
@@ -292,7 +290,7 @@
 	} else if c.query == r.Query {
 		return false
 	}
-	var overTime time.Duration
+	var overTime policy.Micros
 	c.query, c.required = r.Query, joinResponses
 	if v.isReturn(r.Number, row) {
 		c.required, overTime = returnResponses, staleListTime
@@ -317,7 +315,7 @@
 		drained := v.nodes[i].State != policy.Healthy && !v.missing[row.ID].wasHealthy
 		started, withdrawn = known.started, drained || number < known.number
 	}
-	return withdrawn && !row.Started.After(started)
+	return withdrawn && startOf(row) <= started
 }
 
 // remove records that a node has left the list; the caller removes it from nodes. Beyond maxRemoved the
@@ -336,7 +334,7 @@
 // applyMissing drains the nodes without a row, and removes those that the responses to two queries left out,
 // over staleListTime if the list may be outdated.
 func (v *View) applyMissing(r Response, listed map[string]bool) {
-	var overTime time.Duration
+	var overTime policy.Micros
 	if r.Number < v.highest {
 		overTime = staleListTime
 	}
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -51,11 +51,11 @@
 }
 
 // interval is the time between two responses of a test.
-const interval = 200 * time.Millisecond
+const interval policy.Micros = 200_000
 
 // response returns the response to a query, which arrives interval after that to the query before.
 func response(query uint64, list nodelist.VersionedList) Response {
-	return Response{Query: query, At: time.Duration(query) * interval, VersionedList: list}
+	return Response{Query: query, At: policy.Micros(query) * interval, VersionedList: list}
 }
 
 // responsesToReturn is the number of responses that it takes to return a node.
--- a/nodelist/resolver/resolver.go
+++ b/nodelist/resolver/resolver.go
@@ -190,7 +190,7 @@
 	if list.Number < before {
 		r.stats.lower.Add(1)
 	}
-	u := r.view.Observe(membership.Response{Query: q.serial, At: time.Since(r.startedAt), VersionedList: list})
+	u := r.view.Observe(membership.Response{Query: q.serial, At: time.Since(r.startedAt).Microseconds(), VersionedList: list})
 	r.schedule.unconfirmed = u.Unconfirmed
 	if u.Reverted {
 		r.stats.reverted.Add(1)
