--- a/membership/view.go
+++ b/membership/view.go
@@ -28,8 +28,8 @@
 	revertResponses = 5  // a lower version number replaces the one in force
 )
 
-// staleListTime is longer than a name service may go on giving outdated lists without a current one in between:
-// 3 s on the platform.
+// staleListTime is longer than a name service may go on giving outdated lists without a current one in
+// between: 3 s on the platform.
 const staleListTime policy.Micros = 5_000_000
 
 // maxRemoved is the maximum number of removed nodes that a View remembers.
@@ -64,12 +64,12 @@
 	lower        lowerNumbers
 	unconfirmed  map[string]confirmation // rows that wait for confirmation, by node ID
 	missing      map[string]absence      // nodes that drain until it is confirmed that they left or moved
-	removed      map[string]unixMicros   // newest known starts of nodes that have left the list; at most maxRemoved
+	removed      map[string]unixMicros   // newest starts of nodes that have left the list; at most maxRemoved
 	removalOrder []string                // IDs in removed, oldest first; IDs of nodes that returned stay
 }
 
-// unixMicros is the start of a node as its row has it, in microseconds since 1970. Starts are only compared with
-// each other.
+// unixMicros is the start of a node as its row has it, in microseconds since 1970. Starts are only compared
+// with each other.
 type unixMicros int64
 
 // startOf returns the start of a row. A start that is unknown is earlier than any other.
@@ -263,7 +263,8 @@
 		(current.State != policy.Healthy || row.PlatformAddress != current.PlatformAddress)
 	switch {
 	case !givesWork:
-		v.setRow(i, row, history{number: max(known.number, r.Number), started: max(known.started, startOf(row))})
+		known.number, known.started = max(known.number, r.Number), max(known.started, startOf(row))
+		v.setRow(i, row, known)
 	case v.confirm(r, row):
 		v.setRow(i, row, history{number: r.Number, started: startOf(row)})
 	case current.State == policy.Healthy: // its address has changed
@@ -304,10 +305,10 @@
 	return true
 }
 
-// isReturn reports whether a row, in a list with a number, would give work again to a node that has drained or
-// left and has not started since, or give it work on the word of a list older than the newest that told of
-// it. A node that drains only because a response left it out or listed it at another address does not count
-// as drained.
+// isReturn reports whether a row, in a list with a number, would give work again to a node that has drained
+// or left and has not started since, or give it work on the word of a list older than the newest that told
+// of it. A node that drains only because a response left it out or listed it at another address does not
+// count as drained.
 func (v *View) isReturn(number int64, row nodelist.Node) bool {
 	started, withdrawn := v.removed[row.ID]
 	if i := v.index(row.ID); i >= 0 {
