--- a/frontend/postgres/hangup.go
+++ b/frontend/postgres/hangup.go
@@ -1,12 +1,9 @@
 package postgres
 
 import (
-	"errors"
 	"net"
 	"syscall"
 	"time"
-
-	"golang.org/x/sys/unix"
 )
 
 // clientConn is a client's connection. Its receiving end shows through SyscallConn that the client has hung up, and its sending side can
@@ -22,10 +19,10 @@
 // inThePast is a deadline that ends a wait at once.
 var inThePast = time.Unix(1, 0)
 
-// awaitRoom waits until wakeReader is called, and returns true, or until the client has closed the connection or its sending side, and
+// awaitQueueSpace waits until wakeReader is called, and returns true, or until the client has closed the connection or its sending side, and
 // returns false. Nothing is read meanwhile, so that an end that is behind unread bytes is noticed too. s.mu is held, except during the
 // wait.
-func (s *session) awaitRoom() bool {
+func (s *session) awaitQueueSpace() bool {
 	s.readerPaused = true
 	s.setReadDeadline(time.Time{})
 	s.mu.Unlock()
@@ -51,15 +48,3 @@
 	err = raw.Read(func(fd uintptr) bool { return hasHungUp(int(fd)) }) // the function is called at each event of the connection
 	return isTimeout(err)
 }
-
-// hasHungUp reports whether the peer of a socket has closed the connection or its sending side. Unread bytes do not hide that.
-func hasHungUp(fd int) bool {
-	for {
-		polled := []unix.PollFd{{Fd: int32(fd), Events: unix.POLLRDHUP}}
-		n, err := unix.Poll(polled, 0)
-		if errors.Is(err, unix.EINTR) {
-			continue
-		}
-		return err == nil && n > 0 && polled[0].Revents&(unix.POLLRDHUP|unix.POLLHUP|unix.POLLERR) != 0
-	}
-}
--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -25,7 +25,7 @@
 
 	mu           sync.Mutex
 	state        sessionState
-	readerPaused bool                   // the reader waits for room in the queue of commands; see awaitRoom
+	readerPaused bool                   // the reader waits for room in the queue of commands; see awaitQueueSpace
 	inputRead    chan struct{}          // closed when the input that a cancel applies to was read; nil: no cancel is in progress
 	answersAt    time.Time              // answers wait for inputRead until then
 	query        *frontend.PendingQuery // the query whose outcome the worker waits for; nil: none
@@ -238,7 +238,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for s.state.mustWait(c) {
-		if !s.awaitRoom() {
+		if !s.awaitQueueSpace() {
 			return commandAbandoned
 		}
 	}
--- a/frontend/postgres/session_worker.go
+++ b/frontend/postgres/session_worker.go
@@ -50,14 +50,14 @@
 	return c, false
 }
 
-// notBegun is the message of the answer to a command that was cancelled, or timed out, in the queue.
-const notBegun = "over before its turn; nothing was run"
+// endedInQueue is the message of the answer to a command that was cancelled, or timed out, in the queue.
+const endedInQueue = "over before its turn; nothing was run"
 
 // answer executes a command and writes its one answer; it returns false if the answer could not be written.
 func (s *session) answer(c command) bool {
 	switch c.cancel {
 	case cancelledInQueue:
-		return s.writeAnswer(encodeError(codeOverload, notBegun))
+		return s.writeAnswer(encodeError(codeOverload, endedInQueue))
 	case cancelledOnArrival:
 		s.recordQueryRecognized()
 		return s.writeAnswer(encodeFailure(dispatch.ReasonClientDisconnected))
@@ -73,7 +73,7 @@
 	}
 	remaining := q.clientTimeout - time.Since(c.receivedAt)
 	if remaining <= 0 { // timed out in the queue: nothing was sent
-		return s.writeAnswer(encodeError(codeOverload, notBegun))
+		return s.writeAnswer(encodeError(codeOverload, endedInQueue))
 	}
 	if !s.frontend.registerTrace(q.trace) {
 		return s.answerProtocolError(codeIDInUse,
