--- a/membership/view.go
+++ b/membership/view.go
@@ -21,20 +21,6 @@
 	"embershunt/policy"
 )
 
-// Numbers of responses in a row that a change needs.
-const (
-	joinResponses   = 2  // a node gets work
-	returnResponses = 10 // a node gets work again after it drained or left
-	revertResponses = 5  // a lower version number replaces the one in force
-)
-
-// staleListTime is longer than a name service may go on giving outdated lists without a current one in
-// between: 3 s on the platform.
-const staleListTime policy.Micros = 5_000_000
-
-// maxRemoved is the maximum number of removed nodes that a View remembers.
-const maxRemoved = 4096
-
 // Response is a valid response of the name service.
 type Response struct {
 	Query uint64        // serial of the query; a second response to the same query confirms nothing
@@ -53,11 +39,11 @@
 // View holds the list in force and the changes that wait for confirmation. It is not safe for concurrent
 // use.
 type View struct {
-	number  int64              // version number of the list in force
-	highest int64              // highest version number that was in force
-	nodes   []nodelist.Node    // in force; new nodes are appended
-	indexes map[string]int     // indexes into nodes, by ID; set during Observe only
-	known   map[string]history // of the nodes in force, by ID
+	number    int64              // version number of the list in force
+	highest   int64              // highest version number that was in force
+	nodes     []nodelist.Node    // in force; new nodes are appended
+	indexes   map[string]int     // indexes into nodes, by ID; set during Observe only
+	histories map[string]history // of the nodes in force, by ID
 
 	newestQuery  uint64          // newest query whose response had the number in force or a higher one
 	lastRows     []nodelist.Node // rows of the last such response; nil: evaluate the next one in any case
@@ -68,19 +54,6 @@
 	removalOrder []string                // IDs in removed, oldest first; IDs of nodes that returned stay
 }
 
-// unixMicros is the start of a node as its row has it, in microseconds since 1970. Starts are only compared
-// with each other.
-type unixMicros int64
-
-// startOf returns the start of a row. A start that is unknown is earlier than any other.
-func startOf(row nodelist.Node) unixMicros { return unixMicros(row.Started.UnixMicro()) }
-
-// history is what lists have told of a node in force.
-type history struct {
-	number  int64      // highest version number of a list that told of the node, or left it out
-	started unixMicros // newest start in a row that was applied
-}
-
 // lowerNumbers counts the responses in a row with a version number below the one in force.
 type lowerNumbers struct {
 	count  int
@@ -88,29 +61,13 @@
 	query  uint64 // query of the last counted response
 }
 
-// confirmation counts the successive responses with the same row.
-type confirmation struct {
-	node      nodelist.Node // the row
-	query     uint64        // query of the last counted response
-	since     policy.Micros // arrival of the first counted response
-	responses int
-	required  int
-}
-
-// absence records the first response that left a node out, or listed it at another address.
-type absence struct {
-	query      uint64
-	at         policy.Micros // arrival of that response
-	wasHealthy bool          // state of the node before that response
-}
-
 // New returns a view with an initial list in force.
 func New(initial nodelist.VersionedList) *View {
 	v := &View{number: initial.Number, highest: initial.Number, nodes: slices.Clone(initial.Nodes),
 		unconfirmed: map[string]confirmation{}, missing: map[string]absence{},
-		removed: map[string]unixMicros{}, known: make(map[string]history, len(initial.Nodes))}
+		removed: map[string]unixMicros{}, histories: make(map[string]history, len(initial.Nodes))}
 	for _, n := range initial.Nodes {
-		v.known[n.ID] = history{number: initial.Number, started: startOf(n)}
+		v.histories[n.ID] = history{number: initial.Number, started: startOf(n)}
 	}
 	return v
 }
@@ -171,13 +128,6 @@
 	v.applySkippedDrains(r)
 }
 
-// isOutdatedDrain reports whether a row drains an earlier start of a node, in a list with a lower number than
-// the newest that told of the node.
-func (v *View) isOutdatedDrain(number int64, row nodelist.Node) bool {
-	known := v.known[row.ID]
-	return row.State != policy.Healthy && number < known.number && startOf(row) < known.started
-}
-
 // applySkippedDrains drains the nodes whose rows are unusable but mark them as draining.
 func (v *View) applySkippedDrains(r Response) {
 	for _, row := range r.Skipped {
@@ -187,16 +137,6 @@
 	}
 }
 
-// contradict discards the confirmations of rows that a newer response with a lower number does not have:
-// the rows of that response may be right, and the number in force wrong.
-func (v *View) contradict(r Response) {
-	for id, c := range v.unconfirmed { // the entries are independent of each other
-		if r.Query > c.query && !slices.Contains(r.Nodes, c.node) {
-			delete(v.unconfirmed, id)
-		}
-	}
-}
-
 // revert counts responses in a row with a lower number, and reports whether it has replaced the number in
 // force by theirs. A late response to an older query does not count, since an outdated list has a lower
 // number. A number below that of the response counted last restarts the count.
@@ -251,20 +191,20 @@
 		if v.confirm(r, row) {
 			v.indexes[row.ID] = len(v.nodes)
 			v.nodes = append(v.nodes, row)
-			v.known[row.ID] = history{number: r.Number, started: startOf(row)}
+			v.histories[row.ID] = history{number: r.Number, started: startOf(row)}
 		}
 		return
 	}
 	if v.isOutdatedDrain(r.Number, row) {
 		return
 	}
-	current, known := v.nodes[i], v.known[row.ID]
+	current, h := v.nodes[i], v.histories[row.ID]
 	givesWork := row.State == policy.Healthy &&
 		(current.State != policy.Healthy || row.PlatformAddress != current.PlatformAddress)
 	switch {
 	case !givesWork:
-		known.number, known.started = max(known.number, r.Number), max(known.started, startOf(row))
-		v.setRow(i, row, known)
+		h.number, h.started = max(h.number, r.Number), max(h.started, startOf(row))
+		v.setRow(i, row, h)
 	case v.confirm(r, row):
 		v.setRow(i, row, history{number: r.Number, started: startOf(row)})
 	case current.State == policy.Healthy: // its address has changed
@@ -279,57 +219,7 @@
 func (v *View) setRow(i int, row nodelist.Node, h history) {
 	delete(v.unconfirmed, row.ID)
 	delete(v.missing, row.ID)
-	v.nodes[i], v.known[row.ID] = row, h
-}
-
-// confirm counts a response with a row, and reports whether the row is confirmed: whether enough responses
-// in a row, to different queries and over enough time, had exactly this row.
-func (v *View) confirm(r Response, row nodelist.Node) bool {
-	c, seen := v.unconfirmed[row.ID]
-	if !seen || c.node != row {
-		c = confirmation{node: row, since: r.At}
-	} else if c.query == r.Query {
-		return false
-	}
-	var overTime policy.Micros
-	c.query, c.required = r.Query, joinResponses
-	if v.isReturn(r.Number, row) {
-		c.required, overTime = returnResponses, staleListTime
-	}
-	if c.responses++; c.responses < c.required || r.At-c.since < overTime {
-		v.unconfirmed[row.ID] = c
-		return false
-	}
-	delete(v.unconfirmed, row.ID)
-	delete(v.removed, row.ID)
-	return true
-}
-
-// isReturn reports whether a row, in a list with a number, would give work again to a node that has drained
-// or left and has not started since, or give it work on the word of a list older than the newest that told
-// of it. A node that drains only because a response left it out or listed it at another address does not
-// count as drained.
-func (v *View) isReturn(number int64, row nodelist.Node) bool {
-	started, withdrawn := v.removed[row.ID]
-	if i := v.index(row.ID); i >= 0 {
-		known := v.known[row.ID]
-		drained := v.nodes[i].State != policy.Healthy && !v.missing[row.ID].wasHealthy
-		started, withdrawn = known.started, drained || number < known.number
-	}
-	return withdrawn && startOf(row) <= started
-}
-
-// remove records that a node has left the list; the caller removes it from nodes. Beyond maxRemoved the
-// oldest removal is forgotten.
-func (v *View) remove(n nodelist.Node) {
-	delete(v.missing, n.ID)
-	delete(v.unconfirmed, n.ID)
-	v.removed[n.ID] = v.known[n.ID].started
-	delete(v.known, n.ID)
-	if v.removalOrder = append(v.removalOrder, n.ID); len(v.removalOrder) > maxRemoved {
-		delete(v.removed, v.removalOrder[0])
-		v.removalOrder = v.removalOrder[1:]
-	}
+	v.nodes[i], v.histories[row.ID] = row, h
 }
 
 // applyMissing drains the nodes without a row, and removes those that the responses to two queries left out,
@@ -358,13 +248,6 @@
 	v.nodes = kept
 }
 
-// recordAbsence records that a list with a number left a node out, or listed it at another address.
-func (v *View) recordAbsence(id string, number int64) {
-	h := v.known[id]
-	h.number = max(h.number, number)
-	v.known[id] = h
-}
-
 // dropReplaced removes the nodes whose address now belongs to another healthy node. Of several healthy nodes
 // with one address, the last in nodes stays.
 func (v *View) dropReplaced() {
