One answer under a higher number gives a left-out node no work after outdated lists

After one good list had left a node out, outdated lists under a lower number counted towards its return. One answer under a higher number then needed two answers only and found more than that counted, so a single wrong answer gave the node work.

Cause: the count went on when the evidence that was needed changed from ten answers over 5 s to two. Now it begins anew.

--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -51,19 +51,21 @@
 }
 
 // confirm counts a response with a row, and reports whether the row is confirmed: whether enough responses
-// in a row, to different queries and over enough time, had exactly this row.
+// in a row, to different queries and over enough time, had exactly this row. Responses that had to be more do
+// not count among those that may be fewer.
 func (v *View) confirm(r Response, row nodelist.Node) bool {
+	required, overTime := joinResponses, policy.Micros(0)
+	if v.isReturn(r.Number, row) {
+		required, overTime = returnResponses, staleListTime
+	}
 	c, seen := v.unconfirmed[row.ID]
-	if !seen || c.node != row {
-		c = confirmation{node: row, since: r.At}
-	} else if c.query == r.Query {
+	switch {
+	case !seen || c.node != row || c.required != required:
+		c = confirmation{node: row, since: r.At, required: required}
+	case c.query == r.Query:
 		return false
 	}
-	var overTime policy.Micros
-	c.query, c.required = r.Query, joinResponses
-	if v.isReturn(r.Number, row) {
-		c.required, overTime = returnResponses, staleListTime
-	}
+	c.query = r.Query
 	if c.responses++; c.responses < c.required || r.At-c.since < overTime {
 		v.unconfirmed[row.ID] = c
 		return false
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -134,6 +134,7 @@
 		"with gaps":                      slices.Concat([]string{"7: a! b"}, stale, []string{"7: a! b"}, stale),
 		"under the number of the drain":  slices.Concat([]string{"7: a! b"}, repeat(responsesToReturn-1, "7: a b")),
 		"under a higher number":          slices.Concat([]string{"7: a! b"}, repeat(responsesToReturn-1, "40: a b")),
+		"a high number after outdated":   slices.Concat([]string{"7: b"}, repeat(revertResponses+joinResponses, "6: a b"), []string{"40: a b"}),
 		"a drain after an absence":       {"7: b", "6: a! b", "7: a b", "7: a b", "7: a b"},
 		"an older start before a newer":  {"7: a+! b", "7: a! b", "7: a+ b", "7: a+ b", "7: a+ b"},
 		"an older start, after an early": {"2: a+ b", "2: a+ b", "3: a+! b", "3: a b", "3: a b", "3: a+ b", "3: a+ b", "3: a+ b"},
