A node that has left twice is remembered like one that has left once

A node that left, started again and left again stood twice in the order of removals. When 4,096 others had left, its first entry took the newer record along, and two answers with an outdated list were enough to give it work again.

Change: a node that is in force again leaves the order of removals, so that the order and the records are the same nodes. TestSecondRemovalIsRemembered failed before and passes now.

--- a/membership/evidence.go
+++ b/membership/evidence.go
@@ -71,7 +71,7 @@
 		return false
 	}
 	delete(v.unconfirmed, row.ID)
-	delete(v.removed, row.ID)
+	v.forgetRemoval(row.ID)
 	return true
 }
 
@@ -89,6 +89,15 @@
 	return withdrawn && startOf(row) <= started
 }
 
+// forgetRemoval forgets that a node had left the list, since it is in force again.
+func (v *View) forgetRemoval(id string) {
+	if _, removed := v.removed[id]; !removed {
+		return
+	}
+	delete(v.removed, id)
+	v.removalOrder = slices.DeleteFunc(v.removalOrder, func(other string) bool { return other == id })
+}
+
 // remove records that a node has left the list; the caller removes it from nodes. Beyond maxRemoved the
 // oldest removal is forgotten.
 func (v *View) remove(n nodelist.Node) {
--- a/membership/view.go
+++ b/membership/view.go
@@ -51,7 +51,7 @@
 	unconfirmed  map[string]confirmation // rows that wait for confirmation, by node ID
 	missing      map[string]absence      // nodes that drain until it is confirmed that they left or moved
 	removed      map[string]unixMicros   // newest starts of nodes that have left the list; at most maxRemoved
-	removalOrder []string                // IDs in removed, oldest first; IDs of nodes that returned stay
+	removalOrder []string                // IDs in removed, oldest first
 }
 
 // lowerNumbers counts the responses in a row with a version number below the one in force.
--- a/membership/view_test.go
+++ b/membership/view_test.go
@@ -196,6 +196,29 @@
 	}
 }
 
+// Guards against a removal that is forgotten early: a node that returns and leaves again is remembered like one that leaves for the first
+// time, although its first removal is the oldest.
+func TestSecondRemovalIsRemembered(t *testing.T) {
+	v := New(parseList(1, "a b"))
+	query := uint64(0)
+	observe := func(times int, rows string) {
+		for range times {
+			query++
+			v.Observe(response(query, parseList(int64(query)+1, rows)))
+		}
+	}
+	observe(2, "b")    // a leaves
+	observe(2, "a+ b") // a has started again
+	observe(2, "b")    // a leaves again
+	for i := range maxRemoved - 1 {
+		v.remove(nodelist.Node{ID: fmt.Sprint("other-", i)})
+	}
+	observe(joinResponses, "a+ b")
+	if got := formatNodes(v); got != "b" {
+		t.Errorf("in force: %s", got)
+	}
+}
+
 // Outdated lists cost a node that they do not have its work for a short time only: it is back at the second current list. The drain of
 // an earlier start does not apply to it.
 func TestNodesSurviveOutdatedLists(t *testing.T) {
