--- a/review/kit2/client.go
+++ b/review/kit2/client.go
@@ -53,12 +53,9 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &Session{Conn: conn, in: bufio.NewReader(conn)}
-	params := "user\x00app\x00database\x00dw\x00\x00"
-	message := binary.BigEndian.AppendUint32(nil, uint32(8+len(params)))
-	message = append(binary.BigEndian.AppendUint32(message, 3<<16), params...)
+	s := NewSession(conn)
 	_ = conn.SetDeadline(time.Now().Add(3 * time.Second))
-	if _, err = conn.Write(message); err == nil {
+	if _, err = conn.Write(Startup()); err == nil {
 		a := s.ReadAnswer()
 		if err = a.Err; err == nil && a.Code != "" {
 			err = fmt.Errorf("SQLSTATE %s: %s", a.Code, a.Text)
@@ -181,3 +178,13 @@
 	}
 	return a, ""
 }
+
+// Startup is the start-up message of a client.
+func Startup() []byte {
+	params := "user\x00app\x00database\x00dw\x00\x00"
+	b := binary.BigEndian.AppendUint32(nil, uint32(8+len(params)))
+	return append(binary.BigEndian.AppendUint32(b, 3<<16), params...)
+}
+
+// NewSession returns a session on a connection on which nothing has been read.
+func NewSession(conn net.Conn) *Session { return &Session{Conn: conn, in: bufio.NewReader(conn)} }
