--- a/review/9/main.go
+++ b/review/9/main.go
@@ -50,8 +50,6 @@
 	names := kit2.NewNameService(r, rows)
 	d := kit2.NewDispatcher(r, kit2.Settings())
 	d.Memory, d.Sockets = memoryMB, sockets
-	defer d.Stop()
-	kit2.Watch(110*time.Second, d.Stop)
 	d.Configure(names)
 	d.Start()
 
--- a/review/kit2/dispatcher.go
+++ b/review/kit2/dispatcher.go
@@ -10,6 +10,7 @@
 	"os/exec"
 	"path/filepath"
 	"strings"
+	"sync"
 	"syscall"
 	"time"
 )
@@ -70,6 +71,7 @@
 	command        *exec.Cmd
 	ended          chan struct{}
 	log            *os.File
+	stop           sync.Once
 }
 
 // FreeAddress returns a loopback address with a port that is free.
@@ -86,8 +88,12 @@
 	Must(err)
 	log, err := os.Create(filepath.Join(folder, "dispatcher.log"))
 	Must(err)
-	return &Dispatcher{Address: FreeAddress(), Record: r, Sockets: 1024, Memory: 192, folder: folder,
+	d := &Dispatcher{Address: FreeAddress(), Record: r, Sockets: 1024, Memory: 192, folder: folder,
 		config: filepath.Join(folder, "config.json"), settings: settings, log: log}
+	startedMu.Lock()
+	defer startedMu.Unlock()
+	started = append(started, d)
+	return d
 }
 
 // Configure writes the configuration file.
@@ -131,7 +137,6 @@
 	until := time.Now().Add(10 * time.Second)
 	for !Ready(d.Address) {
 		if time.Now().After(until) {
-			d.Stop()
 			Must(errors.New("the dispatcher is not ready after 10 s"))
 		}
 		time.Sleep(20 * time.Millisecond)
@@ -185,13 +190,15 @@
 	return lines
 }
 
-// Stop kills the process, if it runs, and removes its files.
+// Stop kills the process, if it runs, and removes its files. It may be called more than once.
 func (d *Dispatcher) Stop() {
-	if d.command != nil && d.command.Process != nil {
-		d.Kill()
-	}
-	_ = d.log.Close()
-	_ = os.RemoveAll(d.folder)
+	d.stop.Do(func() {
+		if d.ended != nil {
+			d.Kill()
+		}
+		_ = d.log.Close()
+		_ = os.RemoveAll(d.folder)
+	})
 }
 
 // Ready reports whether a dispatcher answers an empty query.
--- a/review/kit2/names.go
+++ b/review/kit2/names.go
@@ -16,6 +16,7 @@
 	conn   *net.UDPConn
 	Silent atomic.Bool // answers nothing
 	Asked  atomic.Int64
+	Delay  atomic.Int64 // nanoseconds before each answer, which holds the list of the moment at which it is sent
 
 	mu     sync.Mutex
 	rows   []Row
@@ -64,7 +65,8 @@
 		if n.Silent.Load() || size < 17 {
 			continue
 		}
-		_, _ = n.conn.WriteToUDPAddrPort(n.answer(buf[:size]), from)
+		query := append([]byte(nil), buf[:size]...)
+		time.AfterFunc(time.Duration(n.Delay.Load()), func() { _, _ = n.conn.WriteToUDPAddrPort(n.answer(query), from) })
 	}
 }
 
@@ -128,3 +130,11 @@
 
 // StartedNow returns the present time as a list has it.
 func StartedNow() int64 { return time.Now().UnixMilli() }
+
+// Set replaces the list and its number.
+func (n *NameService) Set(rows []Row, number int) {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	n.rows, n.number = append([]Row(nil), rows...), number
+	n.record.Logf("name service: list %d has %d nodes", n.number, len(rows))
+}
--- a/review/kit2/record.go
+++ b/review/kit2/record.go
@@ -4,10 +4,13 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"os"
+	"os/signal"
 	"path/filepath"
 	"sync"
+	"syscall"
 	"time"
 )
 
@@ -65,40 +68,44 @@
 // Trouble reports whether the run has the disruption.
 func Trouble() bool { return os.Getenv("TROUBLE") != "0" }
 
-// CannotRun is the panic of a run that could not be carried out.
-type CannotRun struct{ Err error }
+// started holds the dispatchers to stop when the run ends in any way.
+var (
+	startedMu sync.Mutex
+	started   []*Dispatcher
+)
 
-// Must ends the run as one that could not be carried out if there is an error.
+// stopAll stops every dispatcher.
+func stopAll() {
+	startedMu.Lock()
+	all := started
+	startedMu.Unlock()
+	for _, d := range all {
+		d.Stop()
+	}
+}
+
+// Must ends the run as one that could not be carried out if there is an error. It may be called by any goroutine.
 func Must(err error) {
 	if err != nil {
-		panic(CannotRun{err})
+		stopAll()
+		fmt.Fprintln(os.Stderr, "the case could not run:", err)
+		os.Exit(2)
 	}
 }
 
-// Main runs a case and exits with its code; 2 if the case could not run.
+// Main runs a case and exits with its code; 2 if the case could not run, took too long or was told to end.
 func Main(run func() int) {
-	os.Exit(guard(run))
-}
-
-func guard(run func() int) (code int) {
-	defer func() {
-		if p := recover(); p != nil {
-			c, ok := p.(CannotRun)
-			if !ok {
-				panic(p)
-			}
-			fmt.Fprintln(os.Stderr, "the case could not run:", c.Err)
-			code = 2
-		}
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGTERM, syscall.SIGINT)
+	go func() {
+		s := <-signals
+		Must(fmt.Errorf("%v", s))
 	}()
-	return run()
+	time.AfterFunc(maxRun, func() { Must(errors.New("it took too long")) })
+	code := run()
+	stopAll()
+	os.Exit(code)
 }
 
-// Watch ends the run as one that could not be carried out if it takes too long; cleanUp is called before.
-func Watch(limit time.Duration, cleanUp func()) {
-	time.AfterFunc(limit, func() {
-		cleanUp()
-		fmt.Fprintln(os.Stderr, "the case took too long")
-		os.Exit(2)
-	})
-}
+// maxRun is the longest time that a case may take.
+const maxRun = 110 * time.Second
