--- a/review/kit2/dispatcher.go
+++ b/review/kit2/dispatcher.go
@@ -5,6 +5,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"os"
 	"os/exec"
@@ -74,9 +75,11 @@
 	stop           sync.Once
 }
 
-// FreeAddress returns a loopback address with a port that is free.
+// FreeAddress returns an address with a free port on a loopback address that is drawn, so that no other socket takes the port before the
+// dispatcher has started.
 func FreeAddress() string {
-	l, err := net.Listen("tcp", "127.0.0.1:0")
+	host := fmt.Sprintf("127.%d.%d.%d", 64+rand.IntN(128), rand.IntN(256), 1+rand.IntN(254))
+	l, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	Must(err)
 	defer l.Close()
 	return l.Addr().String()
