A session reads on while an attempt may begin for it, however much waits

Cause: at 128 commands or 32 KiB the reader stopped and asked the kernel for the end of the connection. With more on the way than the socket's buffer holds, the end stays at the client's machine, so POLLRDHUP can't show it. Evidence: the late attempts were the second command of a client, at the moment in which the first answer drew a reset; in the new test no answer is ever written, and the code before notices nothing within 5 s.

Change: the reader never stops while an attempt may begin. What there is no room for is rejected in its turn (53000 with pause), its text dropped at once. A session may have 256 KiB waiting in place of 32 KiB, in a memory that all share. 4 MiB to be rejected overrun a session: its query is cancelled, nothing of it is submitted any more, and only then the reader waits, with a growing pause. An eviction within a message has an event of its own, so that it can't leave a session closing after its answers.

Tests: TestCloseBehindAFullSocket failed on the code before (not reported as disconnected in 5 s) and passes now.

--- a/frontend/postgres/answer.go
+++ b/frontend/postgres/answer.go
@@ -6,6 +6,7 @@
 	"embershunt/dispatch"
 	"embershunt/internal/lineproto"
 	"embershunt/internal/pgwire"
+	"embershunt/policy"
 )
 
 // SQLSTATEs. Class 53 and 57P03 tell a client that a retry does no harm: no other error may have one of them.
@@ -41,11 +42,17 @@
 	case dispatch.Failed:
 		return encodeFailure(o.Reason)
 	}
-	code, message := codeOverload, "refused, trying again does no harm: "+string(o.Reason)
+	code := codeOverload
 	if o.Reason == dispatch.ReasonDraining {
 		code = codeDraining
 	}
-	if pauseMillis := o.RetryAfter / 1000; pauseMillis > 0 {
+	return encodeRefusal(code, string(o.Reason), o.RetryAfter)
+}
+
+// encodeRefusal encodes the refusal of a query that has not run; retryAfter is how long the client is asked to wait, or 0.
+func encodeRefusal(code, reason string, retryAfter policy.Micros) []byte {
+	message := "refused, trying again does no harm: " + reason
+	if pauseMillis := retryAfter / 1000; pauseMillis > 0 {
 		message += fmt.Sprintf("; pause=%d", pauseMillis)
 	}
 	return encodeError(code, message)
--- a/frontend/postgres/eviction.go
+++ b/frontend/postgres/eviction.go
@@ -59,7 +59,7 @@
 		}
 		ev := evicted
 		if rank == rankReceiving {
-			ev = dispatcherEnds // the session's message is read and rejected, as at shutdown
+			ev = evictedReceiving
 		}
 		if victim.beginClose(ev) { // else a message came first: the next victim is chosen
 			return true
--- a/frontend/postgres/frontend.go
+++ b/frontend/postgres/frontend.go
@@ -3,8 +3,9 @@
 // dispatcher's loop, not here.
 //
 // session_state.go has the states of a session and their transitions; session.go reads a session's messages, session_worker.go answers
-// them, and session_close.go closes the session. session_cancel.go decides which commands a cancel applies to, and hangup.go notices the
-// end of a connection behind unread commands. eviction.go chooses the session that is closed to make room for another client.
+// them, and session_close.go closes the session. command_queue.go holds the commands that wait for their turn, within the bounds of
+// statement_memory.go. session_cancel.go decides which commands a cancel applies to, and hangup.go notices the end of a connection that is
+// not read. eviction.go chooses the session that is closed to make room for another client.
 package postgres
 
 import (
@@ -37,6 +38,7 @@
 	WriteTimeout time.Duration   // for the client to receive an answer; default 5 s
 	DrainIdle    time.Duration   // the drain at shutdown is over after this long without a new connection or query; default 200 ms
 	MaxClosing   int             // connections allowed beyond MaxSessions while sessions are closing; default 8
+	MaxHeldBytes int             // of the statements that all sessions hold beyond a small allotment of each; default 8 MiB
 }
 
 // setDefaults replaces zero values.
@@ -48,6 +50,7 @@
 	o.WriteTimeout = cmp.Or(o.WriteTimeout, 5*time.Second)
 	o.DrainIdle = cmp.Or(o.DrainIdle, 200*time.Millisecond)
 	o.MaxClosing = cmp.Or(o.MaxClosing, 8)
+	o.MaxHeldBytes = cmp.Or(o.MaxHeldBytes, 8<<20)
 	if o.Log == nil {
 		o.Log = slog.New(slog.DiscardHandler)
 	}
@@ -70,13 +73,16 @@
 	closeCounts    closeCounts
 	rejected       atomic.Int64 // connections rejected because there were too many
 	protocolErrors atomic.Int64 // messages that were malformed, or could not be used
+
+	statementMemory  statementMemory
+	rejectedCommands atomic.Int64 // for lack of room
 }
 
 // New returns a frontend that hands its queries to intake. It accepts connections once Serve is called.
 func New(o Options, intake *frontend.Intake) *Frontend {
 	o.setDefaults()
 	return &Frontend{options: o, intake: intake, sessions: map[uint32]*session{}, traces: map[string]struct{}{},
-		closesBegun: make(chan struct{}), startedAt: time.Now()}
+		closesBegun: make(chan struct{}), startedAt: time.Now(), statementMemory: statementMemory{limitBytes: int64(o.MaxHeldBytes)}}
 }
 
 // Counts returns the number of sessions that are open and not closing, of connections rejected because there were too many, and of messages
@@ -87,6 +93,12 @@
 	return f.openSessions(), f.rejected.Load(), f.protocolErrors.Load()
 }
 
+// StatementCounts returns the number of commands that were rejected for lack of room, and the bytes that statements take at present beyond
+// the allotments of their sessions.
+func (f *Frontend) StatementCounts() (rejected, reservedBytes int64) {
+	return f.rejectedCommands.Load(), f.statementMemory.usedBytes.Load()
+}
+
 // openSessions counts the sessions that are neither closing nor to be rejected; f.mu is held.
 func (f *Frontend) openSessions() (open int) {
 	for _, s := range f.sessions {
--- a/frontend/postgres/hangup.go
+++ b/frontend/postgres/hangup.go
@@ -19,10 +19,10 @@
 // inThePast is a deadline that ends a wait at once.
 var inThePast = time.Unix(1, 0)
 
-// awaitQueueSpace waits until wakeReader is called, and returns true, or until the client has closed the connection or its sending side, and
-// returns false. Nothing is read meanwhile, so that an end that is behind unread bytes is noticed too. s.mu is held, except during the
-// wait.
-func (s *session) awaitQueueSpace() bool {
+// awaitReaderResumed waits until wakeReader is called, and returns true, or until the client has closed the connection or its sending side,
+// and returns false. Nothing is read meanwhile, so that an end that is behind unread bytes is noticed too, as far as the socket's buffer
+// has room for it. s.mu is held, except during the wait.
+func (s *session) awaitReaderResumed() bool {
 	s.readerPaused = true
 	s.setReadDeadline(time.Time{})
 	s.mu.Unlock()
@@ -32,7 +32,7 @@
 	return woken
 }
 
-// wakeReader ends the reader's wait for room, if it waits; s.mu is held.
+// wakeReader ends the reader's pause, if it pauses; s.mu is held.
 func (s *session) wakeReader() {
 	if s.readerPaused {
 		s.setReadDeadline(inThePast)
--- a/frontend/postgres/query_fields_test.go
+++ b/frontend/postgres/query_fields_test.go
@@ -10,7 +10,7 @@
 )
 
 func testSettings() policy.Settings {
-	return policy.Settings{Peers: 1, Classes: []policy.Class{
+	return policy.Settings{Peers: 1, MaxRetryAfter: 2e6, Classes: []policy.Class{
 		{Name: "lookup", PriorityWeight: 1, LatencyObjective: 1e6, Deadline: 3e6},
 		{Name: "load", PriorityWeight: 5, LatencyObjective: 3e6, Deadline: 9e6, Effect: policy.IdempotentByKey}},
 		Kinds: []policy.Kind{{Cores: 8, MemoryMB: 1000}}, Tenants: []policy.Tenant{{Name: "motor"}, {Name: "property"}}}
--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -25,7 +25,8 @@
 
 	mu           sync.Mutex
 	state        sessionState
-	readerPaused bool                   // the reader waits for room in the queue of commands; see awaitQueueSpace
+	account      statementAccount       // of the memory that the commands in state take
+	readerPaused bool                   // the reader waits until it may read on; see awaitReaderResumed
 	inputRead    chan struct{}          // closed when the input that a cancel applies to was read; nil: no cancel is in progress
 	answersAt    time.Time              // answers wait for inputRead until then
 	query        *frontend.PendingQuery // the query whose outcome the worker waits for; nil: none
@@ -39,8 +40,9 @@
 
 func newSession(f *Frontend, conn clientConn, overCapacity bool) *session {
 	now := time.Now()
-	return &session{frontend: f, conn: conn, disconnected: make(chan struct{}), state: sessionState{overCapacity: overCapacity,
-		startedAt: now, lastActivity: now, limits: waitLimits{begin: f.options.BeginTimeout, idle: f.options.IdleTimeout}}}
+	return &session{frontend: f, conn: conn, disconnected: make(chan struct{}), account: statementAccount{memory: &f.statementMemory},
+		state: sessionState{overCapacity: overCapacity, startedAt: now, lastActivity: now,
+			limits: waitLimits{begin: f.options.BeginTimeout, idle: f.options.IdleTimeout}}}
 }
 
 // snapshot calls sessionState.snapshot under the session's lock.
@@ -231,14 +233,14 @@
 	commandAbandoned               // the client has closed the connection
 )
 
-// enqueue adds a command to the queue and starts a worker if none runs. It waits while too much is pipelined. If the session is to close
-// after its pending answers, it waits for that close.
+// enqueue adds a command to the queue and starts a worker if none runs. A command for which there is no room is rejected when its turn
+// comes. If the session is to close after its pending answers, enqueue waits for that close.
 func (s *session) enqueue(c command) enqueueResult {
 	s.frontend.recordActivity()
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	for s.state.mustWait(c) {
-		if !s.awaitQueueSpace() {
+	for s.state.mustWait() {
+		if !s.awaitReaderResumed() {
 			return commandAbandoned
 		}
 	}
@@ -246,7 +248,10 @@
 	if !s.state.apply(commandReceived, time.Now()) {
 		return commandRejected
 	}
-	s.state.push(c)
+	if !s.state.push(c, s.reserveRoom(c)) {
+		s.rejectOverrun()
+	}
+	s.releaseRoom() // of a command that is rejected or cancelled
 	s.trackCancelledInput(c.receivedAt)
 	if !workerRuns {
 		s.frontend.group.Go(func() error { s.answerCommands(); return nil })
@@ -254,6 +259,24 @@
 	return commandQueued
 }
 
+// reserveRoom takes the memory of a command that is to be queued; it returns false if there is no room. A session that holds no other
+// command always has room. s.mu is held.
+func (s *session) reserveRoom(c command) bool {
+	held := s.state.heldBytes()
+	return s.state.hasRoom(c) && (s.account.grow(held+c.bytes()) || held == 0)
+}
+
+// releaseRoom gives back the memory of commands that have been answered or dropped; s.mu is held.
+func (s *session) releaseRoom() { s.account.shrink(s.state.heldBytes()) }
+
+// rejectOverrun rejects the commands of a session that is overrun, and cancels the query in progress; s.mu is held.
+func (s *session) rejectOverrun() {
+	s.state.rejectOverrun()
+	if s.query != nil {
+		s.query.Disconnect()
+	}
+}
+
 // failRead ends the session after a message that could not be read, since nothing after that message can be read either. It sends the
 // reason to the client, unless the connection itself failed.
 func (s *session) failRead(r *bufio.Reader, err error) {
--- a/frontend/postgres/session_cancel.go
+++ b/frontend/postgres/session_cancel.go
@@ -10,15 +10,6 @@
 // the client's system takes to send what had no room in the receive buffer.
 const cancelledInputTimeout = 5 * time.Millisecond
 
-// commandCancel tells whether, and when, a command was cancelled.
-type commandCancel uint8
-
-const (
-	notCancelled       commandCancel = iota
-	cancelledInQueue                 // before its turn
-	cancelledOnArrival               // by a cancel that had found nothing pending
-)
-
 // cancelledInput is the reader's progress through what the client had sent before its cancel. A CancelRequest comes on a connection of
 // its own, while earlier commands may still be in the socket or only half received: they count as cancelled too. The client's input is
 // current again as soon as a read that began after the cancel finds the socket empty for cancelledInputTimeout.
@@ -75,7 +66,7 @@
 
 // commandReceived returns whether a command that was received at a time is cancelled. With a command that the cancel had not found, those
 // that follow it at once are cancelled as well.
-func (c *cancelState) commandReceived(at time.Time) commandCancel {
+func (c *cancelState) commandReceived(at time.Time) commandStatus {
 	if at.Before(c.nextUntil) {
 		c.input, c.inputUntil, c.nextUntil = inputUnread, c.nextUntil, time.Time{}
 		return cancelledOnArrival
@@ -94,9 +85,7 @@
 		return
 	}
 	s.cancel.begin(submitted || len(s.commands) > 0, now)
-	for i := range s.commands {
-		s.commands[i].cancel = cancelledInQueue
-	}
+	s.setStatus(cancelledInQueue)
 }
 
 // maySubmit reports whether the query that the worker executes may be submitted: its client is connected and did not cancel it.
--- a/frontend/postgres/session_cancel_test.go
+++ b/frontend/postgres/session_cancel_test.go
@@ -13,17 +13,21 @@
 	floodCommandLength = 1500
 )
 
-// flood sends floodCommands commands at once, and waits until the first one is open and the session reads no further.
-func (s *testServer) flood(c *client) {
+// flood sends floodCommands commands at once, and waits until the first one is open and the reader is held back, with unread commands
+// before it. The function that it returns lets the reader go on.
+func (s *testServer) flood(c *client) (open func()) {
 	s.t.Helper()
 	statement := "SELECT '" + strings.Repeat("x", floodCommandLength) + "'"
+	send(c, queryWithFields(0, statement))
+	s.waitForOpen(1)
+	open = s.gate.close()
 	var messages []byte
-	for i := range floodCommands {
-		messages = append(messages, queryWithFields(i, statement)...)
+	for i := range floodCommands - 1 {
+		messages = append(messages, queryWithFields(i+1, statement)...)
 	}
 	send(c, messages)
-	s.waitForOpen(1)
-	s.awaitSession(func(state *sessionState) bool { return state.mustWait(command{text: statement}) })
+	<-s.gate.held
+	return open
 }
 
 // expectDisconnected waits until the client of the query with an id is reported as disconnected.
@@ -60,10 +64,11 @@
 		t.Run(name, func(t *testing.T) {
 			s := startServer(t, Options{}, nil)
 			c := s.session()
-			s.flood(c)
+			open := s.flood(c)
 			if err := disconnect(c); err != nil {
 				t.Fatal(err)
 			}
+			open()
 			s.expectDisconnected("0000000000000000")
 			s.expectNoneSubmitted()
 		})
@@ -75,8 +80,9 @@
 func TestCancelBeforeUnreadCommands(t *testing.T) {
 	s := startServer(t, Options{}, nil)
 	c := s.session()
-	s.flood(c)
+	open := s.flood(c)
 	s.frontend.cancel(c.key)
+	open()
 	s.expectDisconnected("0000000000000000")
 	if got := c.until('Z'); got != "E(57014)Z" {
 		t.Errorf("the open command got %s", got)
@@ -134,22 +140,21 @@
 
 // Cancelled commands take no memory, however many a client sends.
 func TestCancelledCommandsTakeNoRoom(t *testing.T) {
-	const sent = 10 * maxPipelinedCommands
+	const sent = 1280
 	s := sessionState{phase: working}
 	now := time.Now()
 	s.cancelCommands(true, now)
 	for range sent {
-		c := command{text: strings.Repeat("x", maxPipelinedBytes), receivedAt: now}
-		if s.mustWait(c) {
+		c := command{text: strings.Repeat("x", maxQueuedBytes), receivedAt: now}
+		if !s.push(c, false) || s.mustWait() {
 			t.Fatal("a cancelled command waits for room")
 		}
-		s.push(c)
 	}
-	if len(s.commands) > 1 || s.queuedBytes > 0 {
-		t.Errorf("%d entries and %d bytes queued", len(s.commands), s.queuedBytes)
+	if len(s.commands) > 1 || s.heldBytes() > 0 {
+		t.Errorf("%d entries and %d bytes queued", len(s.commands), s.heldBytes())
 	}
 	for i := range sent {
-		if c, ok := s.pop(); !ok || c.cancel != cancelledInQueue {
+		if c, ok := s.pop(); !ok || c.status != cancelledInQueue {
 			t.Fatalf("command %d: %+v, %v", i, c, ok)
 		}
 	}
@@ -163,7 +168,7 @@
 	now := time.Now()
 	for name, c := range map[string]struct {
 		steps func(c *cancelState)
-		want  commandCancel
+		want  commandStatus
 	}{
 		"a read that began before the cancel": {func(c *cancelState) { c.endRead() }, cancelledInQueue},
 		"a read that began after the cancel":  {func(c *cancelState) { c.beginRead(); c.endRead() }, notCancelled},
--- a/frontend/postgres/session_close.go
+++ b/frontend/postgres/session_close.go
@@ -18,8 +18,8 @@
 	maxLingerBytes       = 256 << 10
 )
 
-// beginClose begins the close of a session without pending answers; ev is evicted or dispatcherEnds. A session with pending answers closes
-// after them for dispatcherEnds, and stays open for evicted. beginClose reports whether the close has begun.
+// beginClose begins the close of a session without pending answers; ev is evicted, evictedReceiving or dispatcherEnds. A session with
+// pending answers closes after them for dispatcherEnds, and stays open otherwise. beginClose reports whether the close has begun.
 func (s *session) beginClose(ev event) bool {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -99,6 +99,7 @@
 		close(s.disconnected)
 	}
 	s.state.apply(clientDisconnected, time.Now())
+	s.releaseRoom()
 	s.wakeReader()
 	q := s.query
 	s.mu.Unlock()
--- /dev/null
+++ b/frontend/postgres/session_room_test.go
@@ -0,0 +1,189 @@
+package postgres
+
+import (
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"embershunt/dispatch"
+	"embershunt/internal/lineproto"
+)
+
+// sendBehindFullSocket sends a command and waits until it is open. Then it sends further ones at once, and closes the connection, with a
+// receive buffer at the frontend that has room for a part of them only.
+func sendBehindFullSocket(t *testing.T, s *testServer, further int) {
+	t.Helper()
+	c := s.session()
+	statement := "SELECT '" + strings.Repeat("x", 1000) + "'"
+	send(c, queryWithFields(0, statement))
+	s.waitForOpen(1)
+	var messages []byte
+	for i := range further {
+		messages = append(messages, queryWithFields(i+1, statement)...)
+	}
+	if _, err := c.Write(messages); err != nil {
+		t.Fatal(err)
+	}
+	closeConn(t, c)
+}
+
+// smallBufferListener is a listener whose connections receive some 64 KiB at most before they are read.
+type smallBufferListener struct{ *net.TCPListener }
+
+func (l smallBufferListener) Accept() (net.Conn, error) {
+	conn, err := l.AcceptTCP()
+	if err != nil {
+		return nil, err
+	}
+	return conn, conn.SetReadBuffer(32 << 10)
+}
+
+// Guards against attempts for a client that has closed its connection after more commands than the socket's buffer has room for: the end of
+// the connection does not show before all of them are read, and the reader waited for room. The answer to the first command never comes,
+// so that nothing else can tell.
+func TestCloseBehindAFullSocket(t *testing.T) {
+	for name, further := range map[string]int{"commands that are queued": 200, "more than the queue has room for": 1000} {
+		t.Run(name, func(t *testing.T) {
+			s := startServerOn(t, Options{}, nil, func(l *net.TCPListener) Listener { return smallBufferListener{l} })
+			sendBehindFullSocket(t, s, further)
+			s.expectDisconnected("0000000000000000")
+			s.expectNoneSubmitted()
+		})
+	}
+}
+
+// Commands for which there is no room are rejected in their turn, with advice when to try again. Those before them are executed, and so is
+// one that comes after them when there is room again.
+func TestCommandsWithoutRoomAreRejectedInTurn(t *testing.T) {
+	s := startServer(t, Options{MaxHeldBytes: 1}, func(q *dispatch.Query) (dispatch.Outcome, bool) {
+		return servedRows(1), q.Payload.(*lineproto.Request).ID != heldTrace
+	})
+	c := s.session()
+	statement := "SELECT '" + strings.Repeat("x", sessionAllotmentBytes/3) + "'"
+	for i := range 6 { // the first is open, and one more fits into the session's allotment
+		send(c, queryWithFields(i, statement))
+	}
+	s.waitForOpen(1)
+	s.awaitSession(func(state *sessionState) bool { return len(state.commands) == 2 && state.commands[1].repeats == 3 })
+	s.answerOpen()
+	want := []string{"TDCZ", "TDCZ", "E(53000)(pause 100)Z", "E(53000)(pause 100)Z", "E(53000)(pause 100)Z", "E(53000)(pause 100)Z"}
+	for i := range want {
+		if got := c.until('Z'); got != want[i] {
+			t.Errorf("command %d got %s, want %s", i, got, want[i])
+		}
+	}
+	send(c, queryWithFields(6, statement))
+	if got := c.until('Z'); got != "TDCZ" {
+		t.Errorf("a command after the others got %s", got)
+	}
+	closeConn(t, c)
+	s.stop()
+	if used := s.frontend.statementMemory.usedBytes.Load(); used != 0 {
+		t.Errorf("%d bytes are still reserved", used)
+	}
+}
+
+// heldTrace is the id of the query that a test keeps open.
+const heldTrace = "0000000000000000"
+
+// answerOpen answers the open queries.
+func (s *testServer) answerOpen() {
+	s.dispatcher.mu.Lock()
+	defer s.dispatcher.mu.Unlock()
+	for id, q := range s.dispatcher.open {
+		delete(s.dispatcher.open, id)
+		q.Client.Answer(servedRows(1))
+	}
+}
+
+// A client that sends far more than there is room for, without waiting for answers, has one answer for each command. Its query in progress
+// is cancelled, since the reader stops and would not see its end any more. Later commands are executed again.
+func TestOverrunSessionAnswersEachCommand(t *testing.T) {
+	s := startServer(t, Options{}, func(q *dispatch.Query) (dispatch.Outcome, bool) {
+		return servedRows(1), q.Payload.(*lineproto.Request).ID != heldTrace
+	})
+	c := s.session()
+	statement := "SELECT '" + strings.Repeat("x", 60000) + "'"
+	send(c, queryWithFields(0, statement))
+	s.waitForOpen(1)
+	const further = 2 * maxRejectedBytes / 60000
+	go func() {
+		for i := range further {
+			send(c, queryWithFields(i+1, statement))
+		}
+	}()
+	s.expectDisconnected(heldTrace)
+	if got := c.until('Z'); got != "E(57014)Z" {
+		t.Errorf("the query in progress got %s", got)
+	}
+	rejected := 0
+	for i := range further {
+		switch got := c.until('Z'); got {
+		case "E(53000)(pause 100)Z":
+			rejected++
+		case "TDCZ":
+		default:
+			t.Fatalf("command %d got %s", i+1, got)
+		}
+	}
+	if rejected*60000 < maxRejectedBytes {
+		t.Errorf("only %d rejected", rejected)
+	}
+	send(c, queryWithFields(further+1, statement))
+	if got := c.until('Z'); got != "TDCZ" {
+		t.Errorf("a command after the overrun got %s", got)
+	}
+}
+
+// The memory that a queue counts is that of the commands that it holds, whatever is added, removed, cancelled and rejected, and it gives
+// back each command once, in order.
+func TestCommandQueueCountsItsMemory(t *testing.T) {
+	rapid.Check(t, func(rt *rapid.T) {
+		var q commandQueue
+		var want []commandStatus
+		received := time.Now()
+		for _, op := range rapid.SliceOf(rapid.SampledFrom([]string{"add", "add", "reject", "reject", "cancel", "remove"})).Draw(rt, "ops") {
+			switch op {
+			case "add":
+				q.add(command{text: strings.Repeat("x", rapid.IntRange(0, 3000).Draw(rt, "length")), receivedAt: received})
+				want = append(want, notCancelled)
+			case "reject":
+				q.add(command{text: "SELECT 1", status: rejectedForRoom, receivedAt: received})
+				want = append(want, rejectedForRoom)
+			case "cancel":
+				q.setStatus(cancelledInQueue)
+				for i := range want {
+					want[i] = cancelledInQueue
+				}
+			case "remove":
+				c, ok := q.remove()
+				if ok != (len(want) > 0) || ok && c.status != want[0] {
+					rt.Fatalf("%+v, %v; want the first of %v", c, ok, want)
+				}
+				if ok {
+					want = want[1:]
+				}
+			}
+			checkQueueBytes(rt, &q)
+		}
+	})
+}
+
+// checkQueueBytes checks what a queue counts against what it holds.
+func checkQueueBytes(rt *rapid.T, q *commandQueue) {
+	queued, rejected := 0, 0
+	for _, c := range q.commands {
+		if c.status == notCancelled {
+			queued += c.bytes()
+		} else if c.text != "" {
+			rt.Fatalf("the text of a command with status %d is kept", c.status)
+		}
+		rejected += c.droppedAs
+	}
+	if q.queuedBytes != queued || q.rejectedBytes != rejected {
+		rt.Fatalf("%d and %d bytes counted; held: %d and %d", q.queuedBytes, q.rejectedBytes, queued, rejected)
+	}
+}
--- a/frontend/postgres/session_state.go
+++ b/frontend/postgres/session_state.go
@@ -29,6 +29,7 @@
 	queueEmptied                    // the worker has written the last pending answer
 	waitTimedOut                    // the read deadline for the start of a message has passed
 	evicted                         // the session is to make room for another client
+	evictedReceiving                // the same, although a message may be in progress: it is read to its end, and rejected
 	dispatcherEnds                  // the frontend closes all sessions
 	sendingEnded                    // the last message was written; whatever still arrives is discarded
 	clientDisconnected              // the client has disconnected, or its connection cannot be read or written any more
@@ -46,6 +47,7 @@
 //	                    or answer came first
 //	evicted             closing, unless a message  not accepted             not accepted
 //	                    is in progress
+//	evictedReceiving    closing                    not accepted             not accepted
 //	dispatcherEnds      closing                    not accepted; closes     not accepted
 //	                                               after its answers
 //	sendingEnded        closing                    closing                  -
@@ -66,9 +68,10 @@
 	lingering         bool      // the last message was written; whatever still arrives is discarded
 	cancel            cancelState
 
-	commands             []command // pipelined: received and not yet begun
-	queuedBytes          int       // of their texts
-	protocolErrorsInARow int       // commands in a row that could not be used
+	commandQueue
+	overrun              bool // more was rejected for lack of room than a client may have waiting; see rejectOverrun
+	overrunsInARow       int
+	protocolErrorsInARow int // commands in a row that could not be used
 }
 
 // waitLimits bound how long a session waits for the start of a message.
@@ -77,20 +80,6 @@
 	idle  time.Duration // after the last activity
 }
 
-// command is a query that was read completely and has no answer yet.
-type command struct {
-	text       string
-	receivedAt time.Time // when its last byte was received
-	cancel     commandCancel
-	repeats    int // so many further commands, with the same cancel, follow it; not 0 only where the texts were dropped
-}
-
-// Bounds of the commands that are pipelined on one session. At a bound the reader stops reading, and the rest stays in the socket's buffer.
-const (
-	maxPipelinedCommands = 128
-	maxPipelinedBytes    = 32 << 10
-)
-
 // apply applies an event; it returns false if the state does not accept it.
 func (s *sessionState) apply(ev event, now time.Time) bool {
 	switch ev {
@@ -112,6 +101,10 @@
 		s.queried, s.lastActivity = true, now
 	case queueEmptied:
 		s.phase, s.lastActivity, s.commands = idle, now, nil
+		if !s.overrun {
+			s.overrunsInARow = 0
+		}
+		s.overrun = false
 		if s.closeWhenAnswered {
 			s.phase = closing
 		}
@@ -120,10 +113,9 @@
 			return false
 		}
 		s.phase = closing
-	case evicted, dispatcherEnds:
-		ending := ev == dispatcherEnds
-		s.closeWhenAnswered = s.closeWhenAnswered || ending
-		if s.phase == closing || !s.mayClose(ending) {
+	case evicted, evictedReceiving, dispatcherEnds:
+		s.closeWhenAnswered = s.closeWhenAnswered || ev == dispatcherEnds
+		if s.phase == closing || !s.mayClose(ev != evicted) {
 			return false
 		}
 		s.phase = closing
@@ -131,14 +123,14 @@
 		s.phase, s.lingering = closing, true
 	case clientDisconnected:
 		s.disconnected = true
-		s.commands, s.queuedBytes = nil, 0
+		s.clear()
 	}
 	return true
 }
 
-// mayClose reports whether the session may be closed now; ending says that the dispatcher ends.
-func (s *sessionState) mayClose(ending bool) bool {
-	c := permit.Connection{Receiving: s.receiving, DispatcherEnds: ending}
+// mayClose reports whether the session may be closed now; withMessage says that it may be although a message is in progress.
+func (s *sessionState) mayClose(withMessage bool) bool {
+	c := permit.Connection{Receiving: s.receiving, DispatcherEnds: withMessage}
 	if s.phase == working {
 		c.PendingAnswers = 1
 	}
@@ -196,42 +188,36 @@
 	return s.lastActivity.Add(s.limits.idle)
 }
 
-// mustWait reports whether a command must wait before it is accepted: too much is pipelined, or the session is to close after its pending
-// answers. A cancelled command takes no room.
-func (s *sessionState) mustWait(c command) bool {
-	if s.closeWhenAnswered && s.phase == working {
-		return true
-	}
-	if s.cancel.input != inputCurrent {
-		return false
-	}
-	return len(s.commands) >= maxPipelinedCommands || len(s.commands) > 0 && s.queuedBytes+len(c.text) > maxPipelinedBytes
+// mustWait reports whether the reader must not read on: the session is to close after its pending answers, or has been overrun. In both
+// cases no attempt begins for it any more. As long as one may begin, the reader reads, to see the end of the connection.
+func (s *sessionState) mustWait() bool {
+	return s.phase == working && (s.closeWhenAnswered || s.overrun)
 }
 
-// push adds an accepted command to the queue. The text of a command that is cancelled already is dropped, so that a client that sends
-// without end takes no memory.
-func (s *sessionState) push(c command) {
-	if c.cancel = s.cancel.commandReceived(c.receivedAt); c.cancel != notCancelled {
-		c.text = ""
-	}
-	if last := len(s.commands) - 1; last >= 0 && c.cancel == cancelledInQueue && s.commands[last].cancel == cancelledInQueue {
-		s.commands[last].repeats++
-		return
+// push adds an accepted command to the queue. hasRoom says that there is room for a command that is not cancelled. It returns false if
+// the session is overrun by that command.
+func (s *sessionState) push(c command, hasRoom bool) bool {
+	c.status = s.cancel.commandReceived(c.receivedAt)
+	if c.status == notCancelled && !hasRoom {
+		c.status = rejectedForRoom
 	}
-	s.commands, s.queuedBytes = append(s.commands, c), s.queuedBytes+len(c.text)
+	s.add(c)
+	return s.rejectedBytes <= maxRejectedBytes
+}
+
+// rejectOverrun rejects the commands of a session that has received far more of them than there is room for. None of them is executed,
+// nor is the one in progress if it has not been submitted yet. The reader does not read on until all have their answers.
+func (s *sessionState) rejectOverrun() {
+	s.overrun = true
+	s.overrunsInARow++
+	s.cancel.current = true
+	s.setStatus(rejectedForRoom)
 }
 
 // pop removes the oldest command from the queue; ok is false if the queue is empty.
 func (s *sessionState) pop() (c command, ok bool) {
-	if len(s.commands) == 0 {
-		return c, false
-	}
-	s.cancel.current = false
-	c = s.commands[0]
-	if c.repeats > 0 {
-		s.commands[0].repeats--
-		return c, true
+	if c, ok = s.remove(); ok {
+		s.cancel.current = false
 	}
-	s.commands, s.queuedBytes = s.commands[1:], s.queuedBytes-len(c.text)
-	return c, true
+	return c, ok
 }
--- a/frontend/postgres/session_state_test.go
+++ b/frontend/postgres/session_state_test.go
@@ -33,6 +33,8 @@
 		{state{idle, true}, evicted, false, state{idle, true}},
 		{state{working, false}, evicted, false, state{working, false}},
 		{state{closing, false}, evicted, false, state{closing, false}},
+		{state{idle, true}, evictedReceiving, true, state{closing, true}},
+		{state{working, true}, evictedReceiving, false, state{working, true}},
 		{state{idle, true}, dispatcherEnds, true, state{closing, true}},
 		{state{working, false}, dispatcherEnds, false, state{working, false}},
 		{state{working, true}, sendingEnded, true, state{closing, true}},
@@ -47,7 +49,7 @@
 
 // A session with pending answers closes after the last of them if the dispatcher ends, but not because of an eviction.
 func TestSessionClosesAfterItsAnswers(t *testing.T) {
-	for ev, want := range map[event]phase{dispatcherEnds: closing, evicted: idle} {
+	for ev, want := range map[event]phase{dispatcherEnds: closing, evicted: idle, evictedReceiving: idle} {
 		s := sessionState{}
 		now := time.Now()
 		s.apply(commandReceived, now)
--- a/frontend/postgres/session_test.go
+++ b/frontend/postgres/session_test.go
@@ -164,7 +164,7 @@
 		return dispatch.Outcome{}, false
 	})
 	c := s.connect()
-	const many = 3 * maxPipelinedCommands
+	const many = 384
 	all := append([]byte{}, startupMessage...)
 	for i := range many {
 		all = append(all, queryWithFields(i, "SELECT 1")...)
@@ -198,7 +198,7 @@
 		send(c, query("SELECT 1"))
 		c.until('Z')
 	}
-	if took := time.Since(begun); took < 15*protocolErrorPause { // 1 + 2 + 4 + 8, before the fifth answer
+	if took := time.Since(begun); took < 15*firstPause { // 1 + 2 + 4 + 8, before the fifth answer
 		t.Errorf("five invalid queries answered in %v", took)
 	}
 }
--- a/frontend/postgres/session_worker.go
+++ b/frontend/postgres/session_worker.go
@@ -25,6 +25,7 @@
 			s.disconnect()
 			s.closeConn() // ends the reader
 		}
+		s.pauseAfterOverrun()
 	}
 }
 
@@ -33,8 +34,9 @@
 func (s *session) nextCommand() (c command, ok bool) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if c, ok = s.state.pop(); ok {
-		s.wakeReader()
+	c, ok = s.state.pop()
+	s.releaseRoom()
+	if ok {
 		return c, true
 	}
 	now := time.Now()
@@ -55,7 +57,9 @@
 
 // answer executes a command and writes its one answer; it returns false if the answer could not be written.
 func (s *session) answer(c command) bool {
-	switch c.cancel {
+	switch c.status {
+	case rejectedForRoom:
+		return s.rejectForRoom()
 	case cancelledInQueue:
 		return s.writeAnswer(encodeError(codeOverload, endedInQueue))
 	case cancelledOnArrival:
@@ -129,16 +133,51 @@
 	s.state.apply(queryRecognized, time.Now())
 }
 
-// The pause after a command that cannot be used. It doubles with each such command in a row.
+// Answer to a command for which there was no room, and how long its client is asked to wait before a retry.
 const (
-	protocolErrorPause    = 20 * time.Millisecond // after the first
-	maxProtocolErrorPause = time.Second
-	maxPauseDoublings     = 10 // keeps the shift from overflowing
+	noRoomMessage    = "too many commands wait for their answers; nothing was run"
+	noRoomRetryAfter = 100 * time.Millisecond
 )
 
+// rejectForRoom answers a command for which there was no room; it returns false if the answer could not be written.
+func (s *session) rejectForRoom() bool {
+	s.frontend.rejectedCommands.Add(1)
+	s.recordQueryRecognized()
+	retryAfter := min(policy.Micros(noRoomRetryAfter.Microseconds()), s.frontend.options.Settings.MaxRetryAfter)
+	return s.writeAnswer(encodeRefusal(codeOverload, noRoomMessage, retryAfter))
+}
+
+// The pause after a command that cannot be used, and after an overrun. It doubles with each in a row.
+const (
+	firstPause        = 20 * time.Millisecond
+	maxPause          = time.Second
+	maxPauseDoublings = 10 // keeps the shift from overflowing
+)
+
+// pause makes the worker wait after the n-th event in a row for which its client is slowed down, so that the client takes little time from
+// others. It ends with the connection.
+func (s *session) pause(n int) {
+	t := time.NewTimer(min(firstPause<<min(n-1, maxPauseDoublings), maxPause))
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-s.disconnected:
+	}
+}
+
+// pauseAfterOverrun pauses the worker if its session was overrun and every command that had been received has its answer.
+func (s *session) pauseAfterOverrun() {
+	s.mu.Lock()
+	overruns := s.state.overrunsInARow
+	due := s.state.overrun && len(s.state.commands) == 0
+	s.mu.Unlock()
+	if due {
+		s.pause(overruns)
+	}
+}
+
 // answerProtocolError answers a command that cannot be used, and then pauses the worker; it returns false if the answer could not be
-// written. A client that sends such commands in a row waits ever longer for the next answer, so that it takes little time from clients that
-// can be served.
+// written. A client that sends such commands in a row waits ever longer for the next answer.
 func (s *session) answerProtocolError(code, message string) bool {
 	s.frontend.protocolErrors.Add(1)
 	s.mu.Lock()
@@ -148,11 +187,6 @@
 	if !s.writeAnswer(encodeError(code, message)) {
 		return false
 	}
-	t := time.NewTimer(min(protocolErrorPause<<min(inARow-1, maxPauseDoublings), maxProtocolErrorPause))
-	defer t.Stop()
-	select {
-	case <-t.C:
-	case <-s.disconnected:
-	}
+	s.pause(inARow)
 	return true
 }
