A start-up message that is read while its session closes is rejected

Cause: a session that begins to close just before its start-up message is read saw that this was no CancelRequest, and then read it as a message of a started session: a type, and a length of some 10,000 bytes, awaited for BeginTimeout, with the query as a part. Evidence: the silence is BeginTimeout to the millisecond and the end an orderly one; the new test, which holds the start-up between socket and reader while the close begins, gets silence in each of six orders on the code before.

Change: a first message that has begun is read as what it is while the session closes too. A cancel is carried out, a start-up rejected (57P03), and the session is not aborted meanwhile. A session of which nothing has come ends without a word as before. The same fault at the end of the dispatcher and behind a request for encryption is mended with it.

Tests: TestStartupReadAfterCloseBegan fails on the code before in all six subtests, passes now. TestSilentSessionIsClosedWithoutAWord keeps the silent end (passes on both).

--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -142,13 +142,10 @@
 			s.reject(r)
 			return false
 		}
-		// The session closes before its first message was read. Its client may send a query to another dispatcher instead, but a
-		// cancel can only be carried out here.
-		if isTimeout(err) && s.waitTimedOut() || err == nil && !s.startMessage(s.state.startedAt) {
-			if !s.awaitCancel(r) {
-				s.closeGracefully(r)
-				return false
-			}
+		closes := isTimeout(err) && s.waitTimedOut() || err == nil && !s.startMessage(s.state.startedAt)
+		if closes && !s.startLastMessage(r) {
+			s.linger(r) // nothing was read: the client may send a query to another dispatcher
+			return false
 		}
 		m, err := pgwire.ReadStart(r)
 		if err != nil {
@@ -165,6 +162,9 @@
 		case s.state.overCapacity:
 			s.reject(r)
 			return false
+		case s.isClosing():
+			s.fail(r, codeDraining, closingMessage)
+			return false
 		}
 		return s.write(pgwire.AppendStartupResponse(make([]byte, 0, 256), s.key))
 	}
@@ -172,10 +172,22 @@
 	return false
 }
 
-// awaitCancel reports whether the first message of a closing session is a CancelRequest. It waits for that message for drainInputTimeout.
-func (s *session) awaitCancel(r *bufio.Reader) bool {
+// startLastMessage waits for drainInputTimeout for a message of a session that closes before its start, and reports whether one has begun. It
+// is read to its end and answered like that of any other session: a cancel is carried out, and a start-up rejected.
+func (s *session) startLastMessage(r *bufio.Reader) bool {
 	s.setReadDeadline(time.Now().Add(drainInputTimeout))
-	return pgwire.PeekCancel(r)
+	if _, err := r.Peek(1); err != nil {
+		return false
+	}
+	s.setReceiving(true)
+	s.setReadDeadline(time.Now().Add(s.frontend.options.BeginTimeout))
+	return true
+}
+
+// isClosing reports whether the session is closing.
+func (s *session) isClosing() bool {
+	phase, _, _ := s.snapshot()
+	return phase == closing
 }
 
 // reject ends a session that was accepted beyond the bound on sessions.
--- a/frontend/postgres/session_close.go
+++ b/frontend/postgres/session_close.go
@@ -66,10 +66,11 @@
 	s.state.receiving = receiving
 }
 
+// closingMessage is the message of the answer to a command or start-up that is read after the close has begun.
+const closingMessage = "the dispatcher closes this session; nothing was run"
+
 // rejectCommand rejects a command that was read after the close had begun. The write may fail: the session ends anyway.
-func (s *session) rejectCommand() {
-	s.write(encodeError(codeDraining, "the dispatcher closes this session; nothing was run"))
-}
+func (s *session) rejectCommand() { s.write(encodeError(codeDraining, closingMessage)) }
 
 // linger closes the sending side and discards whatever arrives, until the client closes its side or a bound is reached.
 func (s *session) linger(r *bufio.Reader) {
--- a/frontend/postgres/session_close_test.go
+++ b/frontend/postgres/session_close_test.go
@@ -42,6 +42,65 @@
 	}
 }
 
+// Guards against a query that is read and never answered because its session began to close before its start-up message was read: the
+// start-up message was taken for a message of a started session, and the query behind it for a part of that.
+func TestStartupReadAfterCloseBegan(t *testing.T) {
+	tls := []byte{0, 0, 0, 8, 4, 210, 22, 47}
+	for name, beginClose := range map[string]func(s *testServer) bool{
+		"evicted":                  func(s *testServer) bool { return s.frontend.evict(false) },
+		"shutdown":                 func(s *testServer) bool { s.beginEnd(); <-s.frontend.closesBegun; return true },
+		"evicted within a message": func(s *testServer) bool { return s.onlySession().beginClose(evictedReceiving) },
+	} {
+		for first, messages := range map[string][]byte{"start-up": nil, "encryption": tls} {
+			t.Run(name+", "+first, func(t *testing.T) {
+				s := startServer(t, Options{DrainIdle: time.Millisecond, BeginTimeout: time.Minute}, nil)
+				c := s.connect()
+				open := s.gate.close()
+				messages := append(append(append([]byte{}, messages...), startupMessage...), queryWithFields(1, "SELECT 1")...)
+				send(c, messages)
+				<-s.gate.held
+				closed := beginClose(s)
+				open()
+				if !closed {
+					t.Fatal("the session does not close")
+				}
+				if first == "encryption" {
+					if b, err := c.r.ReadByte(); b != 'N' || err != nil {
+						t.Errorf("encryption answered with %q, %v", b, err)
+					}
+				}
+				if got := c.until('.'); got != "E(57P03)." {
+					t.Errorf("the start-up and its query got %s", got)
+				}
+			})
+		}
+	}
+}
+
+// A session that begins to close before anything was read of it is closed without a word: its client may send a query elsewhere.
+func TestSilentSessionIsClosedWithoutAWord(t *testing.T) {
+	s := startServer(t, Options{BeginTimeout: time.Minute}, nil)
+	c := s.connect()
+	s.awaitSession(func(*sessionState) bool { return true })
+	if !s.frontend.evict(false) {
+		t.Fatal("the session does not close")
+	}
+	if got := c.until('.'); got != "." {
+		t.Errorf("a silent client got %s", got)
+	}
+}
+
+// onlySession returns the session of a frontend that has one.
+func (s *testServer) onlySession() *session {
+	s.frontend.mu.Lock()
+	defer s.frontend.mu.Unlock()
+	for _, only := range s.frontend.sessions {
+		return only
+	}
+	s.t.Fatal("no session")
+	return nil
+}
+
 // A query that is open when its session is to close has its complete answer, and no other message, before the close.
 func TestNoCloseBeforeTheAnswer(t *testing.T) {
 	s := startServer(t, Options{MaxSessions: 1}, nil)
--- a/internal/pgwire/start.go
+++ b/internal/pgwire/start.go
@@ -71,13 +71,6 @@
 	return Start{}, malformed("protocol version %d.%d; supported: 3.0", code>>16, code&0xffff)
 }
 
-// PeekCancel reports whether a connection's first message is a complete CancelRequest, without consuming it. It waits for as many bytes
-// as a CancelRequest has, or for an error of the connection.
-func PeekCancel(r *bufio.Reader) bool {
-	head, err := r.Peek(cancelBytes)
-	return err == nil && binary.BigEndian.Uint32(head) == cancelBytes && binary.BigEndian.Uint32(head[4:]) == cancelCode
-}
-
 // readCancel reads the rest of a CancelRequest.
 func readCancel(r *bufio.Reader, length uint32) (Start, error) {
 	if length != cancelBytes {
