What outlives a query no longer keeps its statement in memory

Cause: a part of a string keeps the whole of it. A query's id was a part of its statement, and a connection to a node remembers up to 1,024 ids. A command that had left its session's queue stayed in the array behind the slice.

Change: ids and keys are copies, left slots are emptied. The same on a related path: options, databases and table names that a ClickHouse connection keeps are copies too.

Tests: TestFieldsKeepNoStatement, TestQueueKeepsNoRemovedCommand and TestConnectionEffectKeepsNoStatement fail on the code before.

--- a/classify/connection.go
+++ b/classify/connection.go
@@ -19,7 +19,7 @@
 type Option struct{ Name, Value string }
 
 // ConnectionEffectOf returns the effect of a statement in the ClickHouse dialect on its connection, the name of the database or
-// table that is set, created or dropped, and the options of a SET.
+// table that is set, created or dropped, and the options of a SET. They are copies: a caller that keeps one does not keep the statement.
 func ConnectionEffectOf(statement string) (effect ConnectionEffect, name string, options []Option) {
 	s := scanner{text: statement}
 	switch s.keyword() {
@@ -28,7 +28,7 @@
 		return effect, "", options
 	case "USE":
 		if kind, text := s.next(); kind == tokenWord || kind == tokenQuoted {
-			return SetsDatabase, unquoteName(text), nil
+			return SetsDatabase, strings.Clone(unquoteName(text)), nil
 		}
 	case "BEGIN", "COMMIT", "ROLLBACK", "START":
 		return Unsupported, "", nil
@@ -90,7 +90,7 @@
 		_, text := s.next()
 		name += "." + unquoteName(strings.ToLower(text))
 	}
-	return name
+	return strings.Clone(name)
 }
 
 // setOptions scans the rest of a statement after SET.
@@ -108,7 +108,7 @@
 		if !ok || value == "" {
 			return Unsupported, nil
 		}
-		if options = append(options, Option{name, value}); !more {
+		if options = append(options, Option{strings.Clone(name), strings.Clone(value)}); !more {
 			return SetsOptions, options
 		}
 	}
--- a/classify/connection_test.go
+++ b/classify/connection_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"testing"
+	"unsafe"
 )
 
 func TestConnectionEffectOf(t *testing.T) {
@@ -29,3 +30,28 @@
 		}
 	}
 }
+
+// Guards against a name or option that keeps its statement in memory, however long, for as long as the connection lasts.
+func TestConnectionEffectKeepsNoStatement(t *testing.T) {
+	for _, statement := range []string{"USE warehouse", "SET max_threads = 8, format = csv", "CREATE TEMPORARY TABLE recent (n Int64)", "DROP TABLE a.b"} {
+		_, name, options := ConnectionEffectOf(statement)
+		kept := []string{name}
+		for _, o := range options {
+			kept = append(kept, o.Name, o.Value)
+		}
+		for _, text := range kept {
+			if sharesMemory(text, statement) {
+				t.Errorf("%q is a part of the memory of %q", text, statement)
+			}
+		}
+	}
+}
+
+// sharesMemory reports whether part lies within the memory of whole.
+func sharesMemory(part, whole string) bool {
+	if part == "" {
+		return false
+	}
+	at, begin := uintptr(unsafe.Pointer(unsafe.StringData(part))), uintptr(unsafe.Pointer(unsafe.StringData(whole)))
+	return at >= begin && at < begin+uintptr(len(whole))
+}
--- a/frontend/postgres/command_queue.go
+++ b/frontend/postgres/command_queue.go
@@ -80,6 +80,7 @@
 		q.commands[0].repeats--
 		return c, true
 	}
+	q.commands[0] = command{} // the array behind the slice must not keep its text
 	q.commands = q.commands[1:]
 	q.rejectedBytes -= c.droppedAs
 	if c.status == notCancelled {
--- a/frontend/postgres/query_fields.go
+++ b/frontend/postgres/query_fields.go
@@ -63,7 +63,9 @@
 	if !utf8.ValidString(text) {
 		return q, &BadFieldError{"statement", "bytes that are not UTF-8", "text in UTF-8"}
 	}
-	if q.trace = fields["trace"]; !isHex(q.trace, traceDigits) {
+	// What outlives the query is copied: a part of the statement's text would keep the whole text in memory.
+	q.trace, q.idempotencyKey = strings.Clone(fields["trace"]), strings.Clone(fields["nonce"])
+	if !isHex(q.trace, traceDigits) {
 		return q, &BadFieldError{"trace", q.trace, "16 hex digits"}
 	}
 	if err := q.parseNames(fields, s); err != nil {
@@ -73,7 +75,6 @@
 	if err := q.parseNumbers(fields, class, s); err != nil {
 		return q, err
 	}
-	q.idempotencyKey = fields["nonce"]
 	if q.idempotencyKey != "" && !lineproto.IsToken(q.idempotencyKey) || q.idempotencyKey == "" && class.Effect == policy.IdempotentByKey {
 		return q, &BadFieldError{"nonce", q.idempotencyKey, "a key of 1 to 64 letters, digits, '-', '_' or '.'; required in keyed classes"}
 	}
--- a/frontend/postgres/query_fields_test.go
+++ b/frontend/postgres/query_fields_test.go
@@ -5,6 +5,7 @@
 	"strings"
 	"testing"
 	"time"
+	"unsafe"
 
 	"embershunt/policy"
 )
@@ -116,3 +117,19 @@
 		}
 	})
 }
+
+// Guards against ids and keys that keep a whole statement in memory: a connection to a node remembers a thousand ids.
+func TestFieldsKeepNoStatement(t *testing.T) {
+	s := testSettings()
+	statement := strings.Replace(good, "route=lookup", "route=load,nonce=5c0f3e1a", 1)
+	q, err := parseQuery(statement, &s)
+	if err != nil {
+		t.Fatal(err)
+	}
+	begin := uintptr(unsafe.Pointer(unsafe.StringData(statement)))
+	for _, kept := range []string{q.trace, q.idempotencyKey} {
+		if at := uintptr(unsafe.Pointer(unsafe.StringData(kept))); at >= begin && at < begin+uintptr(len(statement)) {
+			t.Errorf("%q is a part of the memory of its statement", kept)
+		}
+	}
+}
--- a/frontend/postgres/session_room_test.go
+++ b/frontend/postgres/session_room_test.go
@@ -172,6 +172,20 @@
 	})
 }
 
+// Guards against a queue that keeps the texts of commands which it has given back, in the array behind its slice.
+func TestQueueKeepsNoRemovedCommand(t *testing.T) {
+	var q commandQueue
+	for range 3 {
+		q.add(command{text: "SELECT 1"})
+	}
+	kept := q.commands
+	for i := range kept {
+		if q.remove(); kept[i].text != "" {
+			t.Errorf("command %d is kept after its removal", i)
+		}
+	}
+}
+
 // checkQueueBytes checks what a queue counts against what it holds.
 func checkQueueBytes(rt *rapid.T, q *commandQueue) {
 	queued, rejected := 0, 0
