The statements of all clients share a memory that follows memory_mb

Cause: what sessions may hold depended on descriptors alone: a statement being read, one waiting, those queued, one executed, and a copy for the write to the node. Evidence: 36 of 42 MB in use before the kill were texts of statements (heap profile of a trial build).

Change: statements count from when they are read until they are answered, against an eighth of memory_mb for all sessions, besides 4 KiB of each. One without room is read to its end, dropped and refused at once (53000 with pause). Commands behind others leave the last half to sessions that hold none. Related: a statement is written to a node in pieces of 4 KiB, not copied; a closing session skips the messages that it rejects.

The test of lineproto's GET compares the same bytes through WriteTo, which took the place of Append.

--- a/backend/platform_attempt.go
+++ b/backend/platform_attempt.go
@@ -121,8 +121,7 @@
 	if t.spec.HasResources {
 		q.MemoryMB, q.Priority = int64(t.spec.MemoryMB), t.spec.Priority
 	}
-	const estimatedHeaderSize = 200 // bytes
-	written, err = c.writeRequestLocked(ctx, q.Append(make([]byte, 0, len(q.Text)+estimatedHeaderSize)))
+	written, err = c.writeRequestLocked(ctx, &q)
 	switch {
 	case written > 0:
 		t.mu.Lock()
--- a/backend/platform_connection.go
+++ b/backend/platform_connection.go
@@ -197,18 +197,18 @@
 
 // writeRequestLocked writes a request within requestWriteTimeout and returns how many bytes were written. The end of ctx interrupts the
 // write. c.writeMu is held.
-func (c *platformConn) writeRequestLocked(ctx context.Context, b []byte) (written int, err error) {
+func (c *platformConn) writeRequestLocked(ctx context.Context, q *lineproto.Request) (written int, err error) {
 	c.setWriteDeadline(time.Now().Add(requestWriteTimeout))
 	interrupted := make(chan struct{})
 	stop := context.AfterFunc(ctx, func() {
 		c.setWriteDeadline(pastDeadline)
 		close(interrupted)
 	})
-	written, err = c.conn.Write(b)
+	n, err := q.WriteTo(c.conn)
 	if !stop() {
 		<-interrupted // otherwise its deadline could interrupt the write of the next command
 	}
-	return written, err
+	return int(n), err
 }
 
 // setWriteDeadline sets until when a write may block.
--- a/frontend/postgres/command_queue.go
+++ b/frontend/postgres/command_queue.go
@@ -18,7 +18,7 @@
 	receivedAt time.Time // when its last byte was received
 	status     commandStatus
 	repeats    int // so many further commands with the same status follow it; not 0 only where the texts were dropped
-	droppedAs  int // bytes that it and its repeats count as in commandQueue.rejectedBytes
+	droppedAs  int // bytes that it and its repeats count as in commandQueue.rejectedBytes; not 0 only where the texts were dropped
 }
 
 // bytes returns the memory that a command takes.
@@ -56,9 +56,10 @@
 		q.commands = append(q.commands, c)
 		return
 	case rejectedForRoom:
-		c.droppedAs = max(len(c.text), minRejectedBytes)
+		c.droppedAs = max(c.droppedAs, len(c.text), minRejectedBytes)
 		q.rejectedBytes += c.droppedAs
 	case cancelledInQueue, cancelledOnArrival:
+		c.droppedAs = 0
 	}
 	c.text = ""
 	if last := len(q.commands) - 1; last >= 0 && q.commands[last].status == c.status && c.status != cancelledOnArrival {
--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -25,7 +25,8 @@
 
 	mu           sync.Mutex
 	state        sessionState
-	account      statementAccount       // of the memory that the commands in state take
+	account      statementAccount       // of the memory that readingBytes and the commands in state take
+	readingBytes int                    // size of the buffer of the message that is being read
 	readerPaused bool                   // the reader waits until it may read on; see awaitReaderResumed
 	inputRead    chan struct{}          // closed when the input that a cancel applies to was read; nil: no cancel is in progress
 	answersAt    time.Time              // answers wait for inputRead until then
@@ -63,6 +64,9 @@
 // to read a usual query in one or two pieces.
 const readBufferBytes = 1 << 10
 
+// maxReusedBytes is the size up to which a message's buffer is kept for the next message.
+const maxReusedBytes = 4 << 10
+
 // run reads messages until the session ends, and then closes the connection.
 func (s *session) run() {
 	defer s.frontend.removeSession(s)
@@ -75,36 +79,46 @@
 		return
 	}
 	var buf []byte
+	for more := true; more && s.awaitNextMessage(r); {
+		buf, more = s.readMessage(r, buf)
+	}
+}
+
+// awaitNextMessage waits until a message has begun; it returns false if the session ends before.
+func (s *session) awaitNextMessage(r *bufio.Reader) bool {
 	for {
 		s.awaitMessage()
-		if _, err := r.Peek(1); err != nil {
-			if !isTimeout(err) {
-				return
-			}
-			if s.waitTimedOut() {
-				s.closeGracefully(r)
-				return
-			}
-			continue
-		}
-		if !s.startMessage(time.Now()) {
+		_, err := r.Peek(1)
+		switch {
+		case err == nil && s.startMessage(time.Now()):
+			return true
+		case err == nil, isTimeout(err) && s.waitTimedOut():
 			s.closeGracefully(r)
-			return
-		}
-		kind, body, err := pgwire.ReadMessage(r, buf, s.frontend.options.MaxStatement)
-		if buf = body; cap(buf) > 4*readBufferBytes { // the buffer of a long statement is not reused
-			buf = nil
-		}
-		if err != nil {
-			s.failRead(r, err)
-			return
-		}
-		if !s.handleMessage(r, kind, body) {
-			return
+			return false
+		case !isTimeout(err):
+			return false
 		}
 	}
 }
 
+// readMessage reads and handles one message. It returns the buffer for the next one, which may be buf or nil, and false if the session ends
+// with the message.
+func (s *session) readMessage(r *bufio.Reader, buf []byte) (next []byte, more bool) {
+	kind, body, err := pgwire.ReadMessageReserved(r, buf, s.frontend.options.MaxStatement, s.reserveMessage)
+	if cap(body) <= maxReusedBytes {
+		next = body
+	}
+	var noMemory *pgwire.NoMemoryError
+	switch {
+	case errors.As(err, &noMemory) && kind == pgwire.Query:
+		return next, s.handleCommand(r, command{receivedAt: time.Now(), droppedAs: noMemory.BodyBytes})
+	case err != nil && noMemory == nil:
+		s.failRead(r, err)
+		return nil, false
+	}
+	return next, s.handleMessage(r, kind, body)
+}
+
 // handleMessage handles one complete message; it returns false if the session ends with it.
 func (s *session) handleMessage(r *bufio.Reader, kind byte, body []byte) bool {
 	switch kind {
@@ -114,15 +128,7 @@
 			s.failRead(r, err)
 			return false
 		}
-		switch s.enqueue(command{text: text, receivedAt: time.Now()}) {
-		case commandQueued:
-			return true
-		case commandRejected: // the session began to close while the message was read
-			s.rejectCommand()
-			s.closeGracefully(r)
-		case commandAbandoned:
-		}
-		return false
+		return s.handleCommand(r, command{text: text, receivedAt: time.Now()})
 	case pgwire.Terminate:
 		return false
 	}
@@ -131,6 +137,19 @@
 	return false
 }
 
+// handleCommand hands a command to the worker; it returns false if the session ends with it.
+func (s *session) handleCommand(r *bufio.Reader, c command) bool {
+	switch s.enqueue(c) {
+	case commandQueued:
+		return true
+	case commandRejected: // the session began to close while the message was read
+		s.rejectCommand()
+		s.closeGracefully(r)
+	case commandAbandoned:
+	}
+	return false
+}
+
 // maxStartMessages bounds the messages of a handshake: one request each for TLS and GSSAPI encryption, and the start-up message.
 const maxStartMessages = 3
 
@@ -251,6 +270,7 @@
 	s.frontend.recordActivity()
 	s.mu.Lock()
 	defer s.mu.Unlock()
+	defer s.endReading()
 	for s.state.mustWait() {
 		if !s.awaitReaderResumed() {
 			return commandAbandoned
@@ -263,7 +283,6 @@
 	if !s.state.push(c, s.reserveRoom(c)) {
 		s.rejectOverrun()
 	}
-	s.releaseRoom() // of a command that is rejected or cancelled
 	s.trackCancelledInput(c.receivedAt)
 	if !workerRuns {
 		s.frontend.group.Go(func() error { s.answerCommands(); return nil })
@@ -271,16 +290,6 @@
 	return commandQueued
 }
 
-// reserveRoom takes the memory of a command that is to be queued; it returns false if there is no room. A session that holds no other
-// command always has room. s.mu is held.
-func (s *session) reserveRoom(c command) bool {
-	held := s.state.heldBytes()
-	return s.state.hasRoom(c) && (s.account.grow(held+c.bytes()) || held == 0)
-}
-
-// releaseRoom gives back the memory of commands that have been answered or dropped; s.mu is held.
-func (s *session) releaseRoom() { s.account.shrink(s.state.heldBytes()) }
-
 // rejectOverrun rejects the commands of a session that is overrun, and cancels the query in progress; s.mu is held.
 func (s *session) rejectOverrun() {
 	s.state.rejectOverrun()
--- a/frontend/postgres/session_close.go
+++ b/frontend/postgres/session_close.go
@@ -50,7 +50,7 @@
 		}
 		s.setReceiving(true)
 		s.setReadDeadline(time.Now().Add(s.frontend.options.BeginTimeout))
-		kind, _, err := pgwire.ReadMessage(r, nil, s.frontend.options.MaxStatement)
+		kind, err := pgwire.SkipMessage(r, s.frontend.options.MaxStatement)
 		if err != nil || kind != pgwire.Query {
 			break
 		}
@@ -100,7 +100,7 @@
 		close(s.disconnected)
 	}
 	s.state.apply(clientDisconnected, time.Now())
-	s.releaseRoom()
+	s.endReading()
 	s.wakeReader()
 	q := s.query
 	s.mu.Unlock()
--- a/frontend/postgres/session_room_test.go
+++ b/frontend/postgres/session_room_test.go
@@ -86,6 +86,115 @@
 	}
 }
 
+// Guards against memory that depends on the number of sessions alone: statements of bad clients took more than the limit of the process.
+// At any time the statements of all sessions keep to their bound. One without room is rejected at once, a usual one always has
+// room, and what ends makes room again.
+func TestLargeStatementsOfManySessions(t *testing.T) {
+	const statementBytes, sessions, fitting = 60000, 20, 4
+	s := startServer(t, Options{MaxHeldBytes: fitting * statementBytes}, nil)
+	statement := "SELECT '" + strings.Repeat("x", statementBytes) + "'"
+	var holders []*client
+	for i := range sessions {
+		c := s.session()
+		send(c, queryWithFields(i, statement))
+		if len(holders) < fitting {
+			holders = append(holders, c)
+			s.waitForOpen(len(holders))
+			continue
+		}
+		if got := c.until('Z'); got != "E(53000)(pause 100)Z" {
+			t.Fatalf("client %d got %s", i, got)
+		}
+		if used := s.frontend.statementMemory.usedBytes.Load(); used > fitting*statementBytes {
+			t.Fatalf("%d bytes in use", used)
+		}
+	}
+	usual := s.session()
+	send(usual, queryWithFields(sessions, "SELECT 1"))
+	s.waitForOpen(fitting + 1)
+	s.answerOpen()
+	for i, c := range append(holders, usual) {
+		if got := c.until('Z'); got != "TDCZ" {
+			t.Errorf("client %d got %s", i, got)
+		}
+	}
+	s.awaitNothingReserved()
+	send(usual, queryWithFields(sessions+1, statement))
+	s.waitForOpen(1)
+	s.answerOpen()
+}
+
+// Statements that are received in part count as well, and no longer once they are rejected or their client has gone.
+func TestLargeStatementsReceivedInPart(t *testing.T) {
+	const statementBytes, fitting = 60000, 2
+	s := startServer(t, Options{MaxHeldBytes: fitting * statementBytes}, nil)
+	message := queryWithFields(1, "SELECT '"+strings.Repeat("x", statementBytes)+"'")
+	cut := len(message) - 10
+	var holders []*client
+	for range fitting {
+		c := s.session()
+		send(c, message[:cut])
+		holders = append(holders, c)
+		s.awaitReserved(int64(len(holders) * (statementBytes - sessionAllotmentBytes)))
+	}
+	third := s.session()
+	send(third, message[:cut])
+	send(third, message[cut:])
+	if got := third.until('Z'); got != "E(53000)(pause 100)Z" {
+		t.Errorf("a statement without room got %s", got)
+	}
+	closeConn(t, holders[0])
+	s.awaitReserved(statementBytes - sessionAllotmentBytes)
+	send(holders[1], message[cut:])
+	s.waitForOpen(1)
+	s.answerOpen()
+	if got := holders[1].until('Z'); got != "TDCZ" {
+		t.Errorf("a statement that had room got %s", got)
+	}
+	s.awaitNothingReserved()
+}
+
+// Commands that wait behind others of their session leave half of the memory to sessions that hold none.
+func TestWaitingCommandsLeaveRoomForOthers(t *testing.T) {
+	const statementBytes = 20000
+	s := startServer(t, Options{MaxHeldBytes: 10 * statementBytes}, nil)
+	statement := "SELECT '" + strings.Repeat("x", statementBytes) + "'"
+	greedy := s.session()
+	for i := range 10 {
+		send(greedy, queryWithFields(i, statement))
+	}
+	s.awaitSession(func(state *sessionState) bool { return state.rejectedBytes > 0 })
+	other := s.session()
+	send(other, queryWithFields(10, statement))
+	s.waitForOpen(2)
+	s.dispatcher.stop()
+}
+
+// awaitReserved waits until sessions hold at least so many bytes, and less than one usual statement more.
+func (s *testServer) awaitReserved(atLeast int64) {
+	s.t.Helper()
+	var used int64
+	for range 5000 {
+		if used = s.frontend.statementMemory.usedBytes.Load(); used >= atLeast && used < atLeast+sessionAllotmentBytes {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("%d bytes are reserved, want %d", used, atLeast)
+}
+
+// awaitNothingReserved waits until no session holds memory.
+func (s *testServer) awaitNothingReserved() {
+	s.t.Helper()
+	for range 5000 {
+		if s.frontend.statementMemory.usedBytes.Load() == 0 {
+			return
+		}
+		time.Sleep(time.Millisecond)
+	}
+	s.t.Fatalf("%d bytes are still reserved", s.frontend.statementMemory.usedBytes.Load())
+}
+
 // heldTrace is the id of the query that a test keeps open.
 const heldTrace = "0000000000000000"
 
--- a/frontend/postgres/session_worker.go
+++ b/frontend/postgres/session_worker.go
@@ -35,7 +35,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	c, ok = s.state.pop()
-	s.releaseRoom()
+	s.releaseMemory()
 	if ok {
 		return c, true
 	}
--- a/frontend/postgres/statement_memory.go
+++ b/frontend/postgres/statement_memory.go
@@ -17,6 +17,9 @@
 	return false
 }
 
+// isCrowded reports whether so much is taken that the rest is kept for sessions that hold no statement yet.
+func (m *statementMemory) isCrowded() bool { return m.usedBytes.Load() > m.limitBytes/2 }
+
 // release gives n bytes back.
 func (m *statementMemory) release(n int) { m.usedBytes.Add(int64(-n)) }
 
@@ -49,3 +52,35 @@
 		a.reserved -= surplus
 	}
 }
+
+// reserveMessage takes the memory for the buffer of the message that the reader reads; it returns false if there is none.
+func (s *session) reserveMessage(bytes int) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.account.grow(s.state.heldBytes() + bytes) {
+		return false
+	}
+	s.readingBytes = bytes
+	return true
+}
+
+// reserveRoom takes the memory of a command that was read and is to be queued; it returns false if there is no room. s.mu is held.
+func (s *session) reserveRoom(c command) bool {
+	held := s.state.heldBytes()
+	switch {
+	case c.droppedAs > 0 || !s.state.hasRoom(c):
+		return false
+	case held > 0 && held+c.bytes() > sessionAllotmentBytes && s.account.memory.isCrowded():
+		return false
+	}
+	return s.account.grow(held + c.bytes())
+}
+
+// endReading gives back what the message that was read took beyond its command; s.mu is held.
+func (s *session) endReading() {
+	s.readingBytes = 0
+	s.releaseMemory()
+}
+
+// releaseMemory gives back the memory of commands that have been answered or dropped; s.mu is held.
+func (s *session) releaseMemory() { s.account.shrink(s.state.heldBytes() + s.readingBytes) }
--- a/internal/lineproto/command.go
+++ b/internal/lineproto/command.go
@@ -1,6 +1,11 @@
 package lineproto
 
-import "strconv"
+import (
+	"io"
+	"strconv"
+)
+
+var _ io.WriterTo = (*Request)(nil)
 
 // Request is a query in the form in which it is sent to a node.
 type Request struct {
@@ -13,8 +18,32 @@
 	Text      string // the statement
 }
 
-// Append appends the GET command for the request.
-func (q *Request) Append(b []byte) []byte {
+// writeChunkBytes is the size of the buffer through which WriteTo writes: a long statement is not copied as a whole.
+const writeChunkBytes = 4 << 10
+
+// WriteTo implements io.WriterTo: it writes the GET command for the request, in one call of Write where the command is short. After an error
+// the command may have been written in part.
+func (q *Request) WriteTo(w io.Writer) (written int64, err error) {
+	b := q.appendHeader(make([]byte, 0, min(len(q.Text)+estimatedHeaderBytes, writeChunkBytes)))
+	for rest := q.Text; ; b = b[:0] {
+		n := min(len(rest), cap(b)-len(b))
+		b, rest = append(b, rest[:n]...), rest[n:]
+		if rest == "" {
+			b = append(b, "\r\n"...)
+		}
+		n, err = w.Write(b)
+		written += int64(n)
+		if err != nil || rest == "" {
+			return written, err
+		}
+	}
+}
+
+// estimatedHeaderBytes is the size of a command's first line and of its end, as far as it is usual.
+const estimatedHeaderBytes = 200
+
+// appendHeader appends the first line of the GET command.
+func (q *Request) appendHeader(b []byte) []byte {
 	b = append(append(b, "GET "...), q.ID...)
 	b = append(append(b, " lane="...), q.Class...)
 	b = strconv.AppendInt(append(b, ",ttl="...), max(q.TTLMillis, 1), 10)
@@ -28,7 +57,6 @@
 		b = strconv.AppendInt(append(b, ",band="...), int64(q.Priority), 10)
 	}
 	b = strconv.AppendInt(append(b, ' '), int64(len(q.Text)), 10)
-	b = append(append(b, "\r\n"...), q.Text...)
 	return append(b, "\r\n"...)
 }
 
--- a/internal/lineproto/lineproto_test.go
+++ b/internal/lineproto/lineproto_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 	"testing"
@@ -12,11 +13,11 @@
 func TestRequests(t *testing.T) {
 	q := Request{ID: "9b1f", Class: "load", Key: "k1", MemoryMB: 96, Priority: 2, TTLMillis: 1500, Text: "SELECT 'ü'\r\n"}
 	want := "GET 9b1f lane=load,ttl=1500,dedupe=k1,pool=96,band=2 13\r\nSELECT 'ü'\r\n\r\n"
-	if got := string(q.Append(nil)); got != want {
+	if got := written(t, &q); got != want {
 		t.Errorf("%q, want %q", got, want)
 	}
 	plain := Request{ID: "a", Class: "lookup", Priority: -1, Text: "x"}
-	if got := string(plain.Append(nil)); got != "GET a lane=lookup,ttl=1 1\r\nx\r\n" {
+	if got := written(t, &plain); got != "GET a lane=lookup,ttl=1 1\r\nx\r\n" {
 		t.Errorf("%q", got)
 	}
 	got := string(AppendPing(AppendClose(AppendPage(AppendSetPriority(AppendCancel(nil, "a"), "a", 3), "a", 1), "a"), "t"))
@@ -25,6 +26,46 @@
 	}
 }
 
+// written returns what a request writes.
+func written(t *testing.T, q *Request) string {
+	t.Helper()
+	var b bytes.Buffer
+	n, err := q.WriteTo(&b)
+	if err != nil || n != int64(b.Len()) {
+		t.Errorf("%d bytes written, %d counted, %v", b.Len(), n, err)
+	}
+	return b.String()
+}
+
+// A long statement is written in pieces of a bounded size, and reports what was written before an error.
+func TestLongRequestIsWrittenInPieces(t *testing.T) {
+	for length := writeChunkBytes - 200; length < writeChunkBytes+50; length++ {
+		q := Request{ID: "a", Class: "lookup", Priority: -1, Text: strings.Repeat("x", length)}
+		want := fmt.Sprintf("GET a lane=lookup,ttl=1 %d\r\n%s\r\n", length, q.Text)
+		if got := written(t, &q); got != want {
+			t.Fatalf("%d bytes: %d written, want %d", length, len(got), len(want))
+		}
+	}
+	q := Request{ID: "a", Class: "lookup", Priority: -1, Text: strings.Repeat("x", 64000)}
+	w := &limitedWriter{remaining: 10_000}
+	if n, err := q.WriteTo(w); n != 10_000 || !errors.Is(err, io.ErrShortWrite) || w.largest > writeChunkBytes+2 {
+		t.Errorf("%d bytes counted of 10000, %v; the largest piece has %d", n, err, w.largest)
+	}
+}
+
+// limitedWriter takes so many bytes and then fails.
+type limitedWriter struct{ remaining, largest int }
+
+func (w *limitedWriter) Write(b []byte) (int, error) {
+	w.largest = max(w.largest, len(b))
+	n := min(len(b), w.remaining)
+	w.remaining -= n
+	if n < len(b) {
+		return n, io.ErrShortWrite
+	}
+	return n, nil
+}
+
 // An answer is read correctly when its bytes arrive one at a time.
 func TestAnswersByteByByte(t *testing.T) {
 	text := "a news why=p,datum=0.25 0\r\n\r\nb data total=2,rep=util:0.5;inflight:3 6\r\nx\ty\tz\n\r\n"
--- a/internal/pgwire/pgwire.go
+++ b/internal/pgwire/pgwire.go
@@ -29,42 +29,93 @@
 // ErrTooLong means that a message's body is longer than the caller allows; the body has not been read.
 var ErrTooLong = errors.New("pgwire: message too long")
 
-// readChunkBytes is how many bytes ReadMessage allocates at most ahead of the part of a body that has arrived.
+// NoMemoryError means that the caller had no memory for a message's body; the body has been read and dropped.
+type NoMemoryError struct{ BodyBytes int }
+
+// Error tells the length of the message.
+func (e *NoMemoryError) Error() string {
+	return fmt.Sprintf("pgwire: no memory for a message of %d bytes", e.BodyBytes)
+}
+
+// readChunkBytes is how many bytes are allocated first for a body. The rest is allocated only when those have arrived.
 const readChunkBytes = 4 << 10
 
 // ReadMessage reads one message whose body has at most maxBytes. It overwrites buf with the body and returns it, reallocated if it is too
-// small. Memory grows with the bytes received, not with the length that the peer announces.
+// small. Of the length that a peer announces, little is allocated before the first part of the body has arrived.
 func ReadMessage(r *bufio.Reader, buf []byte, maxBytes int) (kind byte, body []byte, err error) {
+	return ReadMessageReserved(r, buf, maxBytes, func(int) bool { return true })
+}
+
+// ReadMessageReserved reads a message as ReadMessage does. Before it allocates a buffer it calls reserve with the buffer's size in bytes, which
+// takes the place of the size before. If reserve returns false, the error is a *NoMemoryError.
+func ReadMessageReserved(r *bufio.Reader, buf []byte, maxBytes int, reserve func(bytes int) bool) (kind byte, body []byte, err error) {
+	kind, length, err := readHeader(r, maxBytes)
+	if err != nil {
+		return kind, buf[:0], err
+	}
+	body = buf[:0]
+	for len(body) < length {
+		at := len(body)
+		if at == cap(body) {
+			size := length
+			if at == 0 {
+				size = min(length, readChunkBytes)
+			}
+			if !reserve(size) {
+				if err := discard(r, length-at); err != nil {
+					return kind, nil, err
+				}
+				return kind, nil, &NoMemoryError{BodyBytes: length}
+			}
+			body = append(make([]byte, 0, size), body...)
+		}
+		body = body[:min(length, cap(body))]
+		if _, err := io.ReadFull(r, body[at:]); err != nil {
+			return kind, body[:at], unexpectedEOF(err)
+		}
+	}
+	return kind, body, nil
+}
+
+// SkipMessage reads one message whose body has at most maxBytes, without keeping the body.
+func SkipMessage(r *bufio.Reader, maxBytes int) (kind byte, err error) {
+	kind, length, err := readHeader(r, maxBytes)
+	if err != nil {
+		return kind, err
+	}
+	return kind, discard(r, length)
+}
+
+// readHeader reads the type of a message and the length of its body, which has at most maxBytes.
+func readHeader(r *bufio.Reader, maxBytes int) (kind byte, bodyBytes int, err error) {
 	var head [5]byte
 	if _, err := io.ReadFull(r, head[:]); err != nil {
-		return 0, buf[:0], err
+		return 0, 0, err
 	}
 	kind = head[0]
 	length := int64(binary.BigEndian.Uint32(head[1:])) // includes its own 4 bytes
 	if length < 4 || length > 1<<31-1 {
-		return kind, buf[:0], malformed("message of type %q with length %d", kind, int32(length))
+		return kind, 0, malformed("message of type %q with length %d", kind, int32(length))
 	}
-	remaining := int(length) - 4
-	if remaining > maxBytes {
-		return kind, buf[:0], ErrTooLong
+	if bodyBytes = int(length) - 4; bodyBytes > maxBytes {
+		return kind, 0, ErrTooLong
 	}
-	body = buf[:0]
-	for remaining > 0 {
-		n := min(remaining, readChunkBytes)
-		at := len(body)
-		if cap(body) < at+n {
-			body = append(body, make([]byte, n)...)
-		}
-		body = body[:at+n]
-		if _, err := io.ReadFull(r, body[at:]); err != nil {
-			if errors.Is(err, io.EOF) {
-				err = io.ErrUnexpectedEOF
-			}
-			return kind, body[:at], err
-		}
-		remaining -= n
+	return kind, bodyBytes, nil
+}
+
+// discard reads n bytes of a body and drops them.
+func discard(r *bufio.Reader, n int) error {
+	_, err := r.Discard(n)
+	return unexpectedEOF(err)
+}
+
+// unexpectedEOF replaces io.EOF, which means that the connection ended between two messages, by io.ErrUnexpectedEOF, which means that it
+// ended within one.
+func unexpectedEOF(err error) error {
+	if errors.Is(err, io.EOF) {
+		return io.ErrUnexpectedEOF
 	}
-	return kind, body, nil
+	return err
 }
 
 // Statement returns the statement in the body of a Query message, without its terminating zero byte.
--- a/internal/pgwire/pgwire_test.go
+++ b/internal/pgwire/pgwire_test.go
@@ -6,6 +6,7 @@
 	"encoding/binary"
 	"errors"
 	"io"
+	"slices"
 	"strings"
 	"testing"
 	"testing/iotest"
@@ -92,6 +93,44 @@
 	}
 }
 
+// A message for which there is no memory is read to its end, so that the next one can be read. Before that no more is reserved than for the
+// part that has arrived and the rest of the announced length.
+func TestMessageWithoutMemory(t *testing.T) {
+	long := append([]byte{'Q', 0, 0, 0x27, 0x14}, bytes.Repeat([]byte{'x'}, 10000)...)
+	r := bufio.NewReader(bytes.NewReader(append(long, 'Q', 0, 0, 0, 6, 'a', 0)))
+	var reserved []int
+	kind, body, err := ReadMessageReserved(r, nil, 20000, func(n int) bool {
+		reserved = append(reserved, n)
+		return n <= readChunkBytes
+	})
+	var noMemory *NoMemoryError
+	if kind != Query || body != nil || !errors.As(err, &noMemory) || noMemory.BodyBytes != 10000 {
+		t.Errorf("%c, %d bytes, %v", kind, len(body), err)
+	}
+	if !slices.Equal(reserved, []int{readChunkBytes, 10000}) {
+		t.Errorf("reserved %v", reserved)
+	}
+	if kind, body, err := ReadMessage(r, nil, 20000); kind != Query || string(body) != "a\x00" || err != nil {
+		t.Errorf("the next message: %c %q, %v", kind, body, err)
+	}
+}
+
+// SkipMessage reads exactly one message, and fails as ReadMessage does.
+func TestSkipMessage(t *testing.T) {
+	r := bufio.NewReader(bytes.NewReader([]byte{'Q', 0, 0, 0, 6, 'a', 0, 'X', 0, 0, 0, 4, 'Q', 0, 0, 0, 9, 'a'}))
+	for _, want := range []byte{Query, Terminate} {
+		if kind, err := SkipMessage(r, 100); kind != want || err != nil {
+			t.Errorf("%c, %v; want %c", kind, err, want)
+		}
+	}
+	if _, err := SkipMessage(r, 100); !errors.Is(err, io.ErrUnexpectedEOF) {
+		t.Errorf("a truncated message: %v", err)
+	}
+	if _, err := SkipMessage(bufio.NewReader(bytes.NewReader([]byte{'Q', 0, 0, 1, 0})), 100); !errors.Is(err, ErrTooLong) {
+		t.Errorf("too long a message: %v", err)
+	}
+}
+
 // ReadMessage reads each message that the Append functions write: the lengths are right, and rows and errors have the protocol's form.
 func TestWrittenMessages(t *testing.T) {
 	b := AppendStartupResponse(nil, Key{7, 8})
--- a/server/platform.go
+++ b/server/platform.go
@@ -47,6 +47,9 @@
 	descriptorsPerQuery = 3
 )
 
+// statementMemoryShare is the share of the memory allowed that clients' statements may take, beyond a small allotment of each session.
+const statementMemoryShare = 0.125
+
 // Settings of the garbage collector.
 const (
 	memoryLimitShare  = 0.6 // soft limit, as a share of the memory allowed: above it garbage is collected more often
@@ -86,7 +89,8 @@
 	p.loop = dispatch.NewLoop(core, p.clock)
 	p.fleet.Bind(p.loop)
 	p.frontend = postgres.New(postgres.Options{Log: p.log, Settings: cfg.Settings,
-		MaxSessions: cfg.Sockets - reservedDescriptors - nodeDescriptors, IdleTimeout: duration(cfg.ConnectionSettings.ConnIdle)},
+		MaxSessions: cfg.Sockets - reservedDescriptors - nodeDescriptors, IdleTimeout: duration(cfg.ConnectionSettings.ConnIdle),
+		MaxHeldBytes: int(cfg.MemoryMB * statementMemoryShare * (1 << 20))},
 		frontend.NewIntake(p.loop, p.clock, frontend.Settings{}))
 	p.resolver = resolver.New(resolver.Options{Log: p.log, Address: cfg.Resolver, Names: cfg.Names, Initial: cfg.Initial,
 		Interval: pollInterval(cfg), Apply: p.setNodes})
--- a/server/platform_test.go
+++ b/server/platform_test.go
@@ -29,6 +29,7 @@
 	d           *server.Platform
 	nameService *simulated.NameService
 	cfg         *config.Platform
+	memoryMB    int        // limit of memory
 	file        string     // path of the configuration file
 	ended       chan error // receives the result of Run
 }
@@ -47,9 +48,9 @@
   "mostHeld":20000,"retryAfter":true,"maxRetryAfterUs":2000000},
  "rules":{"stopSendingWithinUs":1000000,"budgetFree":5,"budgetShare":0.2,"budgetSpanUs":5000000}}`
 
-// newPlatformRig starts a name service and a dispatcher, both with a list of these nodes. When the test ends, the dispatcher must end
-// within 10 s of its context.
-func newPlatformRig(t *testing.T, nodes ...nodelist.Node) *platformRig {
+// newPlatformRigWithMemory starts a name service and a dispatcher, both with a list of these nodes. When the test ends, the dispatcher must
+// end within 10 s of its context.
+func newPlatformRigWithMemory(t *testing.T, memoryMB int, nodes ...nodelist.Node) *platformRig {
 	t.Helper()
 	nameService, err := simulated.NewNameService(platformNames)
 	if err != nil {
@@ -62,7 +63,7 @@
 		targets = append(targets, map[string]any{"uid": n.ID, "endpoint": n.PlatformAddress, "az": "west", "model": "std", "pod_group": 0,
 			"state": "active", "capacity_hint": 1, "boot_ms": 0})
 	}
-	p := &platformRig{t: t, nameService: nameService, file: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
+	p := &platformRig{t: t, nameService: nameService, memoryMB: memoryMB, file: filepath.Join(t.TempDir(), "config.json"), ended: make(chan error, 1)}
 	p.writeConfig(nameService.Address(), targets)
 	if p.cfg, err = config.LoadPlatform(p.file); err != nil {
 		t.Fatal(err)
@@ -90,7 +91,7 @@
 func (p *platformRig) writeConfig(resolver string, targets any) {
 	p.t.Helper()
 	text, err := json.Marshal(map[string]any{"name": "n0", "listen": "127.0.0.1:0", "seed": "1",
-		"limits": map[string]any{"cores": 0.5, "memory_mb": 64, "sockets": 256}, "resolver": resolver,
+		"limits": map[string]any{"cores": 0.5, "memory_mb": p.memoryMB, "sockets": 256}, "resolver": resolver,
 		"known": map[string]any{"pos": 1, "entries": []any{
 			map[string]any{"pos": 1, "hosts": map[string]any{"all": true, "targets": targets}}}},
 		"settings": json.RawMessage(platformSettingsJSON)})
