postgres: names of the queue and memory in the field's terms; linters clean

The words for a command without room are those of a queue that is full and of reserved memory; the end of a session's work is a method of its own, as the linter counts too many branches in apply; metrics say commands_rejected.

--- a/frontend/postgres/command_queue.go
+++ b/frontend/postgres/command_queue.go
@@ -9,7 +9,7 @@
 	notCancelled       commandStatus = iota // it is executed
 	cancelledInQueue                        // its client cancelled it before its turn
 	cancelledOnArrival                      // by a cancel that had found nothing pending
-	rejectedForRoom                         // too much was waiting on its session, or on all sessions, when it was read
+	rejectedQueueFull                       // too much was waiting on its session, or on all sessions, when it was read
 )
 
 // command is a query that was read completely and has no answer yet.
@@ -43,8 +43,8 @@
 	rejectedBytes int // of those that are rejected for lack of room
 }
 
-// hasRoom reports whether a command may wait in the queue. An empty queue has room for any.
-func (q *commandQueue) hasRoom(c command) bool {
+// hasCapacity reports whether a command may wait in the queue. An empty queue has room for any.
+func (q *commandQueue) hasCapacity(c command) bool {
 	return len(q.commands) == 0 || q.queuedBytes+c.bytes() <= maxQueuedBytes
 }
 
@@ -55,7 +55,7 @@
 		q.queuedBytes += c.bytes()
 		q.commands = append(q.commands, c)
 		return
-	case rejectedForRoom:
+	case rejectedQueueFull:
 		c.droppedAs = max(c.droppedAs, len(c.text), minRejectedBytes)
 		q.rejectedBytes += c.droppedAs
 	case cancelledInQueue, cancelledOnArrival:
--- a/frontend/postgres/session.go
+++ b/frontend/postgres/session.go
@@ -280,7 +280,7 @@
 	if !s.state.apply(commandReceived, time.Now()) {
 		return commandRejected
 	}
-	if !s.state.push(c, s.reserveRoom(c)) {
+	if !s.state.push(c, s.reserveCommand(c)) {
 		s.rejectOverrun()
 	}
 	s.trackCancelledInput(c.receivedAt)
--- a/frontend/postgres/session_room_test.go
+++ b/frontend/postgres/session_memory_test.go
@@ -260,8 +260,8 @@
 				q.add(command{text: strings.Repeat("x", rapid.IntRange(0, 3000).Draw(rt, "length")), receivedAt: received})
 				want = append(want, notCancelled)
 			case "reject":
-				q.add(command{text: "SELECT 1", status: rejectedForRoom, receivedAt: received})
-				want = append(want, rejectedForRoom)
+				q.add(command{text: "SELECT 1", status: rejectedQueueFull, receivedAt: received})
+				want = append(want, rejectedQueueFull)
 			case "cancel":
 				q.setStatus(cancelledInQueue)
 				for i := range want {
--- a/frontend/postgres/session_state.go
+++ b/frontend/postgres/session_state.go
@@ -100,14 +100,7 @@
 	case queryRecognized:
 		s.queried, s.lastActivity = true, now
 	case queueEmptied:
-		s.phase, s.lastActivity, s.commands = idle, now, nil
-		if !s.overrun {
-			s.overrunsInARow = 0
-		}
-		s.overrun = false
-		if s.closeWhenAnswered {
-			s.phase = closing
-		}
+		s.endWork(now)
 	case waitTimedOut:
 		if s.phase != closing && (s.cancel.endRead() || !s.mayClose(true) || now.Before(s.readDeadline(now))) {
 			return false
@@ -128,6 +121,18 @@
 	return true
 }
 
+// endWork records that every command that was received has its answer.
+func (s *sessionState) endWork(now time.Time) {
+	s.phase, s.lastActivity, s.commands = idle, now, nil
+	if s.closeWhenAnswered {
+		s.phase = closing
+	}
+	if !s.overrun {
+		s.overrunsInARow = 0
+	}
+	s.overrun = false
+}
+
 // mayClose reports whether the session may be closed now; withMessage says that it may be although a message is in progress.
 func (s *sessionState) mayClose(withMessage bool) bool {
 	c := permit.Connection{Receiving: s.receiving, DispatcherEnds: withMessage}
@@ -194,12 +199,12 @@
 	return s.phase == working && (s.closeWhenAnswered || s.overrun)
 }
 
-// push adds an accepted command to the queue. hasRoom says that there is room for a command that is not cancelled. It returns false if
-// the session is overrun by that command.
-func (s *sessionState) push(c command, hasRoom bool) bool {
+// push adds an accepted command to the queue. reserved says that there is memory for the command, should it be executed. push returns false
+// if the session is overrun by that command.
+func (s *sessionState) push(c command, reserved bool) bool {
 	c.status = s.cancel.commandReceived(c.receivedAt)
-	if c.status == notCancelled && !hasRoom {
-		c.status = rejectedForRoom
+	if c.status == notCancelled && !reserved {
+		c.status = rejectedQueueFull
 	}
 	s.add(c)
 	return s.rejectedBytes <= maxRejectedBytes
@@ -211,7 +216,7 @@
 	s.overrun = true
 	s.overrunsInARow++
 	s.cancel.current = true
-	s.setStatus(rejectedForRoom)
+	s.setStatus(rejectedQueueFull)
 }
 
 // pop removes the oldest command from the queue; ok is false if the queue is empty.
--- a/frontend/postgres/session_worker.go
+++ b/frontend/postgres/session_worker.go
@@ -58,8 +58,8 @@
 // answer executes a command and writes its one answer; it returns false if the answer could not be written.
 func (s *session) answer(c command) bool {
 	switch c.status {
-	case rejectedForRoom:
-		return s.rejectForRoom()
+	case rejectedQueueFull:
+		return s.rejectQueueFull()
 	case cancelledInQueue:
 		return s.writeAnswer(encodeError(codeOverload, endedInQueue))
 	case cancelledOnArrival:
@@ -135,16 +135,16 @@
 
 // Answer to a command for which there was no room, and how long its client is asked to wait before a retry.
 const (
-	noRoomMessage    = "too many commands wait for their answers; nothing was run"
-	noRoomRetryAfter = 100 * time.Millisecond
+	queueFullMessage    = "too many commands wait for their answers; nothing was run"
+	queueFullRetryAfter = 100 * time.Millisecond
 )
 
-// rejectForRoom answers a command for which there was no room; it returns false if the answer could not be written.
-func (s *session) rejectForRoom() bool {
+// rejectQueueFull answers a command for which there was no room; it returns false if the answer could not be written.
+func (s *session) rejectQueueFull() bool {
 	s.frontend.rejectedCommands.Add(1)
 	s.recordQueryRecognized()
-	retryAfter := min(policy.Micros(noRoomRetryAfter.Microseconds()), s.frontend.options.Settings.MaxRetryAfter)
-	return s.writeAnswer(encodeRefusal(codeOverload, noRoomMessage, retryAfter))
+	retryAfter := min(queueFullRetryAfter.Microseconds(), s.frontend.options.Settings.MaxRetryAfter)
+	return s.writeAnswer(encodeRefusal(codeOverload, queueFullMessage, retryAfter))
 }
 
 // The pause after a command that cannot be used, and after an overrun. It doubles with each in a row.
--- a/frontend/postgres/statement_memory.go
+++ b/frontend/postgres/statement_memory.go
@@ -64,11 +64,11 @@
 	return true
 }
 
-// reserveRoom takes the memory of a command that was read and is to be queued; it returns false if there is no room. s.mu is held.
-func (s *session) reserveRoom(c command) bool {
+// reserveCommand takes the memory of a command that was read and is to be queued; it returns false if there is no room. s.mu is held.
+func (s *session) reserveCommand(c command) bool {
 	held := s.state.heldBytes()
 	switch {
-	case c.droppedAs > 0 || !s.state.hasRoom(c):
+	case c.droppedAs > 0 || !s.state.hasCapacity(c):
 		return false
 	case held > 0 && held+c.bytes() > sessionAllotmentBytes && s.account.memory.isCrowded():
 		return false
--- a/server/platform_metrics.go
+++ b/server/platform_metrics.go
@@ -122,11 +122,12 @@
 // logCounts logs the counts of queries, attempts, connections and gossip.
 func (m *platformMetrics) logCounts(p *Platform) {
 	open, rejected, unreadable := p.frontend.Counts()
-	withoutRoom, statementBytes := p.frontend.StatementCounts()
+	rejectedCommands, statementBytes := p.frontend.StatementCounts()
 	args := []any{"taken", m.received.Load(), "served", m.outcomes[dispatch.Served].Load(), "refused", m.outcomes[dispatch.Shed].Load(),
 		"failed", m.outcomes[dispatch.Failed].Load(), "held", m.pending.Load(), "sent", m.sent.Load(), "further", m.retries.Load(),
 		"faults", m.faults.Load(), "sessions", open, "turned_away", rejected, "unreadable", unreadable,
-		"commands_without_room", withoutRoom, "statement_bytes", statementBytes, "node_connections", p.fleet.PlatformConns(), "answers_discarded", p.fleet.DiscardedAnswers(),
+		"commands_rejected", rejectedCommands, "statement_bytes", statementBytes,
+		"node_connections", p.fleet.PlatformConns(), "answers_discarded", p.fleet.DiscardedAnswers(),
 		"list_failures", p.resolver.Failures()}
 	for code := range m.codes {
 		args = append(args, "ended_"+codeNames[policy.Code(code)], m.codes[code].Load())
